Watches wait 10 s and leave 400 ms between news; the first reading may lag

Change: watches wait 10 s (a silent connection shows by its probes), 400 ms between two, leases of 20 s renewed each 6 s, the first reading may lag behind.

--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -13,7 +13,7 @@
             roster::{Member, Roster},
             routes::RouteTable,
         },
-        transport::registry::{Changes, LeaseId, Registry, RegistryError},
+        transport::registry::{Changes, Freshness, LeaseId, Registry, RegistryError},
     },
     slog::{info, warn},
     std::{
@@ -25,24 +25,23 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Time for which a watch waits for a change. A watch that went silent without a reset
-/// is noticed after this and [`ANSWER_TIME`](crate::gateway::upkeep), inside the time in
-/// which a change must be in force.
-const WATCH_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which a watch waits for a change. A connection that went silent without a
+/// reset is noticed sooner, by the probes of [`guard_socket`](crate::transport::leaf).
+const WATCH_TIME: Duration = Duration::from_secs(10);
 
-/// Pause between two watches, so that leaves that start and leave in numbers come as one
-/// change.
-const WATCH_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two watches, so that leaves and hosts that come and go in numbers cost
+/// one call; a change must be in force after 3 seconds.
+const WATCH_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause after a failed call: the platform's answer takes some milliseconds, and its
 /// rates are shared by all hosts.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Length of the lease of this host's entry.
-const LEASE_TIME: Duration = Duration::from_secs(9);
+const LEASE_TIME: Duration = Duration::from_secs(20);
 
-/// Time between renewals.
-const RENEW_TIME: Duration = Duration::from_secs(3);
+/// Time between renewals: three fit into a lease.
+const RENEW_TIME: Duration = Duration::from_secs(6);
 
 /// Time for which hosts that are gone still count among those that share the fleet's
 /// limits: what they sent again counts that long.
@@ -67,10 +66,11 @@
 pub async fn follow<R: Registry>(gateway: Arc<Gateway>, registry: Arc<R>, stop: CancellationToken) {
     let mut known = Known::default();
     let mut revision = None;
+    let mut freshness = Freshness::Behind;
     while !stop.is_cancelled() {
         let asked = async {
             match revision {
-                None => registry.load().await,
+                None => registry.load(freshness).await,
                 Some(revision) => registry.watch(revision, WATCH_TIME).await,
             }
         };
@@ -94,6 +94,8 @@
             }
             Err(RegistryError::HistoryGone) => {
                 info!(gateway.log, "upkeep: history is gone, reading everything");
+                // What lags behind may lie before the gap in the history again.
+                freshness = Freshness::Present;
                 revision = None;
                 known.roster.was_away(now);
             }
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -21,6 +21,15 @@
     pub unreadable: Vec<String>,
 }
 
+/// How old a reading may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Some seconds.
+    Behind,
+    /// As of the call.
+    Present,
+}
+
 /// A lease that keeps an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
@@ -53,8 +62,12 @@
 
 /// The platform's registry as an entry host uses it.
 pub trait Registry: Send + Sync + 'static {
-    /// Reads everything.
-    fn load(&self) -> impl Future<Output = Result<Changes, RegistryError>> + Send;
+    /// Reads everything. With [`Freshness::Behind`] it may be seconds old, at a fraction
+    /// of the cost: changes since are watched for from its revision.
+    fn load(
+        &self,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<Changes, RegistryError>> + Send;
 
     /// Returns what changed after `revision`, as soon as anything did, at the latest
     /// after `wait`.
