--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -187,11 +187,6 @@
             .get_all(CONNECTION)
             .iter()
             .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        eprintln!(
-            "KA {:?} {:?}",
-            headers.get(KEEP_ALIVE),
-            headers.get(CONNECTION)
-        );
         let idle = match idle_timeout(headers) {
             Some(stated) => stated.mul_f64(IDLE_PART),
             None => UNSTATED_IDLE,
