Hosts learn from each other while the store is away; renewals tell that it hangs

Probes don't show it, the store's side still acknowledges. Change: the lease is renewed each 2 s; its first failure and its first success after one drop the watch. Cold leaves with a stated rate get this host's share.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod answer;
 pub mod call;
 pub mod host;
+pub mod known;
 pub mod listener;
 pub mod metrics;
 pub mod race;
@@ -30,7 +31,7 @@
 };
 
 use {
-    crate::protocol::dialect::Dialect,
+    crate::{protocol::dialect::Dialect, transport::fleet::Held},
     arc_swap::ArcSwap,
     eyre::Result,
     slog::Logger,
@@ -38,6 +39,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    tokio::sync::Notify,
 };
 
 /// What all requests of one host share.
@@ -50,6 +52,10 @@
     pub log: Logger,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// What other entry hosts may learn from this one.
+    pub held: Held,
+    /// Told when a call to the registry had no answer, or the first one after that has.
+    pub doubted: Notify,
     view: ArcSwap<View>,
     stopping: AtomicBool,
 }
@@ -67,6 +73,8 @@
             dialect,
             log,
             metrics,
+            held: Held::default(),
+            doubted: Notify::new(),
             view: ArcSwap::default(),
             stopping: AtomicBool::new(false),
         })
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -1,11 +1,18 @@
 //! A whole entry host: its listeners, and the tasks that keep up what it knows.
 
 use {
-    super::{Gateway, HostSettings, listener, upkeep},
-    crate::{protocol::dialect::Dialect, transport::registry::Registry},
+    super::{
+        Gateway, HostSettings, listener,
+        upkeep::{self, Follower},
+    },
+    crate::{
+        clock::millis,
+        protocol::dialect::Dialect,
+        transport::{fleet, registry::Registry},
+    },
     eyre::{Result, WrapErr},
-    slog::{Logger, info},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    slog::{Logger, error, info},
+    std::{net::SocketAddr, sync::Arc},
     tokio::{
         net::{TcpListener, TcpSocket},
         task::JoinHandle,
@@ -49,6 +56,7 @@
     ) -> Result<Self> {
         let callers = bind(settings.caller_address)?;
         let ready = settings.ready_address.map(bind).transpose()?;
+        let peers = settings.peer_address.map(bind).transpose()?;
         let metrics = settings.metrics_address.map(bind).transpose()?;
         let gateway = Arc::new(Gateway::new(settings, dialect, log)?);
         let registry = Arc::new(registry);
@@ -70,11 +78,11 @@
                 ended.clone(),
             ));
         }
-        tokio::spawn(upkeep::follow(
-            Arc::clone(&gateway),
-            Arc::clone(&registry),
-            ended.clone(),
-        ));
+        if let Some(peers) = peers {
+            tokio::spawn(serve_peers(peers, Arc::clone(&gateway), ended.clone()));
+        }
+        let follower = Follower::new(Arc::clone(&gateway), Arc::clone(&registry));
+        tokio::spawn(follower.run(ended.clone()));
         let enlisted = tokio::spawn(upkeep::enlist(
             Arc::clone(&gateway),
             registry,
@@ -107,12 +115,14 @@
         let enlisted = timeout_at(part(END_PART), &mut self.enlisted).await;
         self.ended.cancel();
         info!(self.gateway.log, "host: stopped"; "all_answered" => callers.is_ok(),
-            "left_registry" => enlisted.is_ok(), "took_ms" => elapsed_ms(begun.elapsed()));
+            "left_registry" => enlisted.is_ok(), "took_ms" => millis(begun.elapsed()));
     }
 }
 
-fn elapsed_ms(time: Duration) -> u64 {
-    crate::clock::millis(time)
+async fn serve_peers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
+    if let Err(error) = fleet::serve(listener, gateway.held.clone(), stop).await {
+        error!(gateway.log, "host: the server for other hosts ended"; "error" => %error);
+    }
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener> {
--- /dev/null
+++ b/src/gateway/known.rs
@@ -0,0 +1,220 @@
+//! What a host knows, from which views and snapshots are made.
+
+use {
+    super::{
+        Gateway, HostSettings,
+        view::{LeafHandle, Learned, Service, View},
+    },
+    crate::{
+        clock::Millis,
+        collections::{Map, Name},
+        state::{allowance::Allowance, roster::Roster, routes::RouteTable},
+        transport::{
+            fleet::Snapshot,
+            registry::{Changes, Entry, Heard},
+        },
+    },
+    bytes::Bytes,
+    slog::info,
+    std::{
+        collections::VecDeque,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for which hosts that are gone still count among those that share the fleet's
+/// limits: what they sent again counts that long.
+const MEMORY_TIME: Duration = Duration::from_secs(10);
+
+/// Hosts that share the limits while their number is not known.
+const UNKNOWN_HOSTS: usize = 16;
+
+/// What a host knows.
+#[derive(Default)]
+pub struct Known {
+    /// Leaves, domains and entry hosts.
+    pub roster: Roster,
+    routes: Option<Arc<RouteTable>>,
+    leaves: Map<Name, Arc<LeafHandle>>,
+    allowances: Map<Name, Arc<Mutex<Allowance>>>,
+    learned: Map<Name, Arc<Learned>>,
+    /// Numbers of entry hosts seen lately, with the time of each.
+    counts: VecDeque<(Millis, usize)>,
+    entries: Map<Name, Bytes>,
+    revision: u64,
+    /// Entry hosts that others told of.
+    told: Vec<SocketAddr>,
+}
+
+impl Known {
+    /// Takes in what the registry told; true when a view made of it would differ.
+    pub fn hear(
+        &mut self,
+        gateway: &Gateway,
+        changes: Changes,
+        is_whole: bool,
+        now: Millis,
+    ) -> bool {
+        for entry in &changes.unreadable {
+            info!(gateway.log, "upkeep: an entry can't be read"; "entry" => entry);
+        }
+        let mut changed = self.roster.tick(now);
+        if is_whole {
+            changed = changed.or(self.roster.replace(changes.news, now));
+        } else {
+            for news in changes.news {
+                changed = changed.or(self.roster.hear(news, now));
+            }
+        }
+        let is_newer = changes
+            .routes
+            .is_some_and(|routes| self.adopt(gateway, routes));
+        changed.leaves || changed.members || is_newer
+    }
+
+    /// Keeps entries for other hosts.
+    pub fn keep(&mut self, heard: Heard, is_whole: bool) {
+        if is_whole {
+            self.entries.clear();
+        }
+        for entry in heard.entries {
+            match entry.value {
+                Some(value) => self.entries.insert(entry.key, value),
+                None => self.entries.remove(&entry.key),
+            };
+        }
+        self.revision = heard.revision;
+    }
+
+    /// Returns the revision up to which everything is known; 0 before anything is.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns what other hosts may learn from this one.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let entries = self.entries.iter().map(|(key, value)| Entry {
+            key: key.clone(),
+            value: Some(value.clone()),
+        });
+        Snapshot {
+            revision: self.revision,
+            entries: entries.collect(),
+            peers: self.roster.members().map(|member| member.address).collect(),
+        }
+    }
+
+    /// Notes entry hosts that another told of.
+    pub fn note_peers(&mut self, peers: &[SocketAddr]) {
+        self.told = peers.to_vec();
+    }
+
+    /// Returns the other entry hosts that may answer.
+    #[must_use]
+    pub fn peers(&self, settings: &HostSettings) -> Vec<SocketAddr> {
+        let members = self.roster.members().map(|member| member.address);
+        let all = members.chain(self.told.iter().copied());
+        let mut all: Vec<SocketAddr> = all.chain(settings.seeds.iter().copied()).collect();
+        all.retain(|peer| Some(*peer) != settings.peer_address);
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    /// Returns a view of all that is known.
+    #[must_use]
+    pub fn view(&mut self, gateway: &Gateway, now: Millis) -> View {
+        let hosts = self.hosts(now);
+        let services = self.usable(gateway);
+        let mut learned = Map::default();
+        for route in self.routes.iter().flat_map(|routes| routes.routes()) {
+            let known = self.learned.get(&route.name).cloned();
+            learned.insert(route.name.clone(), known.unwrap_or_default());
+        }
+        self.learned = learned;
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        gateway.metrics.leaves.set(count(self.leaves.len()));
+        gateway.metrics.hosts.set(count(hosts));
+        View {
+            routes: self.routes.clone(),
+            hosts,
+            services: self.services(services),
+            learned: self.learned.clone(),
+        }
+    }
+
+    /// Puts newer routes in force; a version never goes back.
+    fn adopt(&mut self, gateway: &Gateway, routes: RouteTable) -> bool {
+        let known = self.routes.as_ref().map(|routes| routes.version);
+        if known.is_some_and(|known| known >= routes.version) {
+            return false;
+        }
+        info!(gateway.log, "upkeep: routes in force"; "version" => routes.version, "before" => known);
+        let version = i64::try_from(routes.version).unwrap_or(i64::MAX);
+        gateway.metrics.version.set(version);
+        self.routes = Some(Arc::new(routes));
+        true
+    }
+
+    /// Returns the usable leaves by service, with what is learned of each.
+    fn usable(&mut self, gateway: &Gateway) -> Map<Name, Vec<Arc<LeafHandle>>> {
+        let mut services: Map<Name, Vec<Arc<LeafHandle>>> = Map::default();
+        let mut leaves: Map<Name, Arc<LeafHandle>> = Map::default();
+        for leaf in self.roster.usable() {
+            let known = self.leaves.get(&leaf.id);
+            // Another address or start is another leaf: nothing learned of it holds.
+            let known = known.filter(|known| known.leaf.is_same_start(leaf));
+            let handle = known.cloned().unwrap_or_else(|| {
+                info!(gateway.log, "upkeep: leaf usable"; "leaf" => &*leaf.id,
+                    "service" => &*leaf.service, "address" => %leaf.address);
+                Arc::new(LeafHandle::new(leaf.clone()))
+            });
+            handle.note_cold(leaf.cold, Instant::now());
+            leaves.insert(leaf.id.clone(), Arc::clone(&handle));
+            services
+                .entry(leaf.service.clone())
+                .or_default()
+                .push(handle);
+        }
+        for id in self.leaves.keys().filter(|id| !leaves.contains_key(*id)) {
+            info!(gateway.log, "upkeep: leaf no longer used"; "leaf" => &**id);
+        }
+        self.leaves = leaves;
+        services
+    }
+
+    fn services(&mut self, services: Map<Name, Vec<Arc<LeafHandle>>>) -> Map<Name, Arc<Service>> {
+        let with_allowance = services.into_iter().map(|(name, leaves)| {
+            let allowance = self
+                .allowances
+                .entry(name.clone())
+                .or_insert_with(|| Arc::new(Mutex::new(Allowance::new(Instant::now()))));
+            let service = Service {
+                name: name.clone(),
+                leaves,
+                allowance: Arc::clone(allowance),
+            };
+            (name, Arc::new(service))
+        });
+        with_allowance.collect()
+    }
+
+    /// Returns the most entry hosts seen within [`MEMORY_TIME`].
+    fn hosts(&mut self, now: Millis) -> usize {
+        let present = self.roster.members().count();
+        self.counts.push_back((now, present));
+        while self
+            .counts
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > MEMORY_TIME && self.counts.len() > 1)
+        {
+            self.counts.pop_front();
+        }
+        let most = self.counts.iter().map(|(_, count)| *count).max();
+        most.filter(|most| *most > 0).unwrap_or(UNKNOWN_HOSTS)
+    }
+}
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -267,6 +267,8 @@
             usual: self.usual,
             connections: self.view.connections(&leaf.leaf.service),
         };
+        let rate = self.view.cold_rate(&leaf.leaf.service);
+        leaf.spend_warmup(rate, self.view.hosts, now);
         let number = self.calls.next;
         self.calls.next += 1;
         self.runs[place].begin(number, leaf, now);
@@ -290,6 +292,8 @@
         if leaves.is_empty() && run.pending.is_empty() {
             leaves = run.leaves().iter().collect();
         }
+        let rate = self.view.cold_rate(run.name());
+        leaves.retain(|leaf| leaf.is_allowed(rate, now));
         let near = &self.gateway.settings.domain;
         let candidates: Vec<place::Candidate> = leaves
             .iter()
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -1,34 +1,31 @@
-//! Follows the registry and publishes what it tells.
+//! Follows the registry, or other entry hosts while it can't be read, and publishes what
+//! is told.
 
 use {
-    super::{
-        Gateway,
-        view::{LeafHandle, Learned, Service, View},
-    },
+    super::{Gateway, known::Known},
     crate::{
         clock::Millis,
-        collections::{Map, Name},
-        state::{
-            allowance::Allowance,
-            roster::{Member, Roster},
-            routes::RouteTable,
+        state::roster::Member,
+        transport::{
+            fleet,
+            registry::{Freshness, Heard, LeaseId, Registry, RegistryError},
         },
-        transport::registry::{Changes, Freshness, LeaseId, Registry, RegistryError},
     },
+    rand::seq::IndexedRandom,
     slog::{info, warn},
-    std::{
-        collections::VecDeque,
-        sync::{Arc, Mutex},
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tokio::time::sleep,
     tokio_util::sync::CancellationToken,
 };
 
-/// Time for which a watch waits for a change. A connection that went silent without a
-/// reset is noticed sooner, by the probes of [`guard_socket`](crate::transport::leaf).
+/// Time for which a watch waits for a change. A store that hangs with its connections
+/// open is noticed sooner, by the renewals of this host's lease.
 const WATCH_TIME: Duration = Duration::from_secs(10);
 
+/// Time for which a watch waits while the registry is away, so that another host is asked
+/// in between.
+const AWAY_WATCH_TIME: Duration = Duration::from_secs(1);
+
 /// Pause between two watches, so that leaves and hosts that come and go in numbers cost
 /// one call; a change must be in force after 3 seconds.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
@@ -40,69 +37,144 @@
 /// Length of the lease of this host's entry.
 const LEASE_TIME: Duration = Duration::from_secs(20);
 
-/// Time between renewals: three fit into a lease.
-const RENEW_TIME: Duration = Duration::from_secs(6);
+/// Time between renewals. They tell within this time and that of an answer that the
+/// registry hangs, at a tenth of the price of a watch; a change must be in force after
+/// 3 seconds.
+const RENEW_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which hosts that are gone still count among those that share the fleet's
-/// limits: what they sent again counts that long.
-const MEMORY_TIME: Duration = Duration::from_secs(10);
+/// Follows the registry until `stop`.
+pub struct Follower<R> {
+    gateway: Arc<Gateway>,
+    registry: Arc<R>,
+    known: Known,
+    /// Revision up to which everything is known.
+    revision: Option<u64>,
+    freshness: Freshness,
+    /// Whether the last call failed.
+    is_away: bool,
+}
 
-/// Hosts that share the limits while their number is not known.
-const UNKNOWN_HOSTS: usize = 16;
+impl<R: Registry> Follower<R> {
+    /// Returns a follower that knows nothing yet.
+    #[must_use]
+    pub fn new(gateway: Arc<Gateway>, registry: Arc<R>) -> Self {
+        Self {
+            gateway,
+            registry,
+            known: Known::default(),
+            revision: None,
+            freshness: Freshness::Behind,
+            is_away: false,
+        }
+    }
 
-/// What the host knows, from which views are made.
-#[derive(Default)]
-struct Known {
-    roster: Roster,
-    routes: Option<Arc<RouteTable>>,
-    leaves: Map<Name, Arc<LeafHandle>>,
-    allowances: Map<Name, Arc<Mutex<Allowance>>>,
-    learned: Map<Name, Arc<Learned>>,
-    /// Numbers of entry hosts seen lately, with the time of each.
-    counts: VecDeque<(Millis, usize)>,
-}
+    /// Follows the registry until `stop`.
+    pub async fn run(mut self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            let heard = tokio::select! {
+                () = stop.cancelled() => break,
+                heard = self.ask() => heard,
+            };
+            self.gateway.metrics.called(heard.is_ok());
+            let pause = match heard {
+                Ok(heard) => self.hear(heard),
+                Err(error) => self.fail(&error).await,
+            };
+            sleep(pause).await;
+        }
+    }
 
-/// Follows the registry until `stop`.
-pub async fn follow<R: Registry>(gateway: Arc<Gateway>, registry: Arc<R>, stop: CancellationToken) {
-    let mut known = Known::default();
-    let mut revision = None;
-    let mut freshness = Freshness::Behind;
-    while !stop.is_cancelled() {
+    async fn ask(&self) -> Result<Heard, RegistryError> {
+        let wait = if self.is_away {
+            AWAY_WATCH_TIME
+        } else {
+            WATCH_TIME
+        };
         let asked = async {
-            match revision {
-                None => registry.load(freshness).await,
-                Some(revision) => registry.watch(revision, WATCH_TIME).await,
+            match self.revision {
+                None => self.registry.load(self.freshness).await,
+                Some(revision) => self.registry.watch(revision, wait).await,
             }
         };
-        let heard = tokio::select! {
-            () = stop.cancelled() => break,
+        // A watch that began before a call failed may never end, even when the registry
+        // is back.
+        tokio::select! {
             heard = asked => heard,
-        };
-        let now = Millis::now();
-        gateway.metrics.called(heard.is_ok());
-        match heard {
-            Ok(changes) => {
-                let is_whole = revision.is_none();
-                revision = Some(changes.revision);
-                let is_news = known.hear(&gateway, changes, is_whole, now);
-                if is_news {
-                    gateway.publish(known.view(&gateway, now));
-                }
-                if is_news && !is_whole {
-                    sleep(WATCH_PAUSE).await;
-                }
+            () = self.gateway.doubted.notified() => {
+                Err(RegistryError::Unreachable("another call had no answer".to_owned()))
             }
-            Err(RegistryError::HistoryGone) => {
-                info!(gateway.log, "upkeep: history is gone, reading everything");
-                // What lags behind may lie before the gap in the history again.
-                freshness = Freshness::Present;
-                revision = None;
-                known.roster.was_away(now);
+        }
+    }
+
+    fn hear(&mut self, heard: Heard) -> Duration {
+        if std::mem::take(&mut self.is_away) {
+            info!(self.gateway.log, "upkeep: the registry can be read again"; "revision" => heard.revision);
+        }
+        let is_whole = self.revision.is_none();
+        let is_news = self.take(heard, is_whole);
+        if is_news && !is_whole {
+            WATCH_PAUSE
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Takes in entries; true when they changed what requests go by.
+    fn take(&mut self, heard: Heard, is_whole: bool) -> bool {
+        let now = Millis::now();
+        let changes = self.registry.decode(&heard.entries);
+        self.revision = Some(heard.revision);
+        let gateway = &self.gateway;
+        let is_news = self.known.hear(gateway, changes, is_whole, now);
+        self.known.keep(heard, is_whole);
+        if is_news {
+            gateway.publish(self.known.view(gateway, now));
+        }
+        gateway.held.set(self.known.snapshot());
+        is_news
+    }
+
+    async fn fail(&mut self, error: &RegistryError) -> Duration {
+        self.known.roster.was_away(Millis::now());
+        if *error == RegistryError::HistoryGone {
+            info!(self.gateway.log, "upkeep: the history is gone, reading everything";
+                "after" => self.revision);
+            // What lags behind may lie before the gap in the history again.
+            self.freshness = Freshness::Present;
+            self.revision = None;
+            return Duration::ZERO;
+        }
+        if !std::mem::replace(&mut self.is_away, true) {
+            warn!(self.gateway.log, "upkeep: the registry can't be read"; "error" => %error,
+                "revision" => self.revision);
+        }
+        self.ask_peer().await;
+        RETRY_PAUSE
+    }
+
+    /// Learns from another entry host.
+    async fn ask_peer(&mut self) {
+        let peers = self.known.peers(&self.gateway.settings);
+        let Some(peer) = peers.choose(&mut rand::rng()) else {
+            return;
+        };
+        let revision = self.known.revision();
+        match fleet::ask(*peer, revision).await {
+            Ok(snapshot) if snapshot.revision > revision => {
+                info!(self.gateway.log, "upkeep: learned from another host"; "peer" => %peer,
+                    "revision" => snapshot.revision, "before" => revision,
+                    "entries" => snapshot.entries.len());
+                self.known.note_peers(&snapshot.peers);
+                let heard = Heard {
+                    entries: snapshot.entries,
+                    revision: snapshot.revision,
+                };
+                self.take(heard, true);
             }
+            Ok(snapshot) => self.known.note_peers(&snapshot.peers),
             Err(error) => {
-                warn!(gateway.log, "upkeep: the registry can't be read"; "error" => %error);
-                known.roster.was_away(now);
-                sleep(RETRY_PAUSE).await;
+                info!(self.gateway.log, "upkeep: another host did not answer"; "peer" => %peer,
+                    "error" => error.message());
             }
         }
     }
@@ -110,28 +182,32 @@
 
 /// Keeps this host's entry in the registry until `stop`, then takes it out.
 pub async fn enlist<R: Registry>(gateway: Arc<Gateway>, registry: Arc<R>, stop: CancellationToken) {
-    let address = gateway
-        .settings
-        .peer_address
-        .unwrap_or(gateway.settings.caller_address);
+    let settings = &gateway.settings;
     let member = Member {
-        id: gateway.settings.id.clone(),
-        address,
+        id: settings.id.clone(),
+        address: settings.peer_address.unwrap_or(settings.caller_address),
     };
     let mut lease: Option<LeaseId> = None;
+    let mut is_failing = false;
     while !stop.is_cancelled() {
         let pause = match renew(&*registry, &member, lease).await {
             Ok(held) => {
                 lease = Some(held);
+                if std::mem::take(&mut is_failing) {
+                    gateway.doubted.notify_one();
+                }
                 RENEW_TIME
             }
             Err(RegistryError::LeaseGone) => {
                 info!(gateway.log, "upkeep: this host's lease has ended");
                 lease = None;
-                Duration::ZERO
+                RETRY_PAUSE
             }
             Err(error) => {
-                warn!(gateway.log, "upkeep: this host's entry can't be kept"; "error" => %error);
+                if !std::mem::replace(&mut is_failing, true) {
+                    gateway.doubted.notify_one();
+                    warn!(gateway.log, "upkeep: this host's entry can't be kept"; "error" => %error);
+                }
                 RETRY_PAUSE * 2
             }
         };
@@ -157,114 +233,3 @@
         None => registry.enlist(member, LEASE_TIME).await,
     }
 }
-
-impl Known {
-    /// Takes in what the registry told; true when a view made of it would differ.
-    fn hear(&mut self, gateway: &Gateway, changes: Changes, is_whole: bool, now: Millis) -> bool {
-        for entry in &changes.unreadable {
-            info!(gateway.log, "upkeep: an entry can't be read"; "entry" => entry);
-        }
-        let mut changed = if is_whole {
-            self.roster.replace(changes.news, now)
-        } else {
-            let mut changed = self.roster.tick(now);
-            for news in changes.news {
-                changed = changed.or(self.roster.hear(news, now));
-            }
-            changed
-        };
-        changed = changed.or(self.roster.tick(now));
-        let is_newer = changes
-            .routes
-            .is_some_and(|routes| self.adopt(gateway, routes));
-        changed.leaves || changed.members || is_newer
-    }
-
-    /// Puts newer routes in force; a version never goes back.
-    fn adopt(&mut self, gateway: &Gateway, routes: RouteTable) -> bool {
-        let known = self.routes.as_ref().map(|routes| routes.version);
-        if known.is_some_and(|known| known >= routes.version) {
-            return false;
-        }
-        info!(gateway.log, "upkeep: routes in force"; "version" => routes.version, "before" => known);
-        gateway
-            .metrics
-            .version
-            .set(i64::try_from(routes.version).unwrap_or(i64::MAX));
-        self.routes = Some(Arc::new(routes));
-        true
-    }
-
-    fn view(&mut self, gateway: &Gateway, now: Millis) -> View {
-        let hosts = self.hosts(now);
-        let mut services: Map<Name, Vec<Arc<LeafHandle>>> = Map::default();
-        let mut leaves: Map<Name, Arc<LeafHandle>> = Map::default();
-        for leaf in self.roster.usable() {
-            let known = self.leaves.get(&leaf.id);
-            // Another address or start is another leaf: nothing learned of it holds.
-            let known = known.filter(|known| {
-                (known.leaf.address, known.leaf.born) == (leaf.address, leaf.born)
-                    && known.leaf.service == leaf.service
-            });
-            let handle = known.cloned().unwrap_or_else(|| {
-                info!(gateway.log, "upkeep: leaf usable"; "leaf" => &*leaf.id, "service" => &*leaf.service);
-                Arc::new(LeafHandle::new(leaf.clone()))
-            });
-            leaves.insert(leaf.id.clone(), Arc::clone(&handle));
-            services
-                .entry(leaf.service.clone())
-                .or_default()
-                .push(handle);
-        }
-        for id in self.leaves.keys().filter(|id| !leaves.contains_key(*id)) {
-            info!(gateway.log, "upkeep: leaf no longer used"; "leaf" => &**id);
-        }
-        self.leaves = leaves;
-        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
-        gateway.metrics.leaves.set(count(self.leaves.len()));
-        gateway.metrics.hosts.set(count(hosts));
-        let mut learned = Map::default();
-        for route in self.routes.iter().flat_map(|routes| routes.routes()) {
-            let known = self.learned.get(&route.name).cloned();
-            learned.insert(route.name.clone(), known.unwrap_or_default());
-        }
-        self.learned = learned;
-        View {
-            routes: self.routes.clone(),
-            hosts,
-            services: self.services(services),
-            learned: self.learned.clone(),
-        }
-    }
-
-    fn services(&mut self, services: Map<Name, Vec<Arc<LeafHandle>>>) -> Map<Name, Arc<Service>> {
-        let with_allowance = services.into_iter().map(|(name, leaves)| {
-            let allowance = self
-                .allowances
-                .entry(name.clone())
-                .or_insert_with(|| Arc::new(Mutex::new(Allowance::new(Instant::now()))));
-            let service = Service {
-                name: name.clone(),
-                leaves,
-                allowance: Arc::clone(allowance),
-            };
-            (name, Arc::new(service))
-        });
-        with_allowance.collect()
-    }
-
-    /// Returns the most entry hosts seen within [`MEMORY_TIME`].
-    fn hosts(&mut self, now: Millis) -> usize {
-        let present = self.roster.members().count();
-        self.counts.push_back((now, present));
-        while self
-            .counts
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > MEMORY_TIME && self.counts.len() > 1)
-        {
-            self.counts.pop_front();
-        }
-        let most = self.counts.iter().map(|(_, count)| *count).max();
-        most.filter(|most| *most > 0).unwrap_or(UNKNOWN_HOSTS)
-    }
-}
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -10,6 +10,7 @@
             pace::{Median, Pace, SLOW},
             roster::Leaf,
             routes::RouteTable,
+            warmup::Warmup,
         },
         transport::leaf::Pool,
     },
@@ -80,6 +81,7 @@
     full: Option<Instant>,
     pending: Vec<Pending>,
     next: u64,
+    warmup: Warmup,
 }
 
 #[derive(Debug)]
@@ -111,6 +113,12 @@
             .map_or(&[], |service| &service.leaves)
     }
 
+    /// Returns the requests a second that a cold leaf of `service` bears.
+    #[must_use]
+    pub fn cold_rate(&self, service: &str) -> Option<f64> {
+        self.routes.as_ref()?.rules(service).cold_rate
+    }
+
     /// Returns how many connections this host may have to a leaf of `service`.
     #[must_use]
     pub fn connections(&self, service: &str) -> usize {
@@ -162,6 +170,18 @@
         }
     }
 
+    /// Notes how much longer the leaf stays cold.
+    pub fn note_cold(&self, left: Duration, now: Instant) {
+        lock(&self.stats).warmup.note(left, now);
+    }
+
+    /// Returns whether a request may be sent to it: a cold leaf that bears only `rate`
+    /// requests a second gets this host's share of them.
+    #[must_use]
+    pub fn is_allowed(&self, rate: Option<f64>, now: Instant) -> bool {
+        lock(&self.stats).warmup.is_allowed(rate, now)
+    }
+
     /// Counts a request that is about to be sent; its reply usually takes `usual`.
     #[must_use]
     pub fn begin(self: &Arc<Self>, usual: Duration, now: Instant) -> Ticket {
@@ -180,6 +200,12 @@
         }
     }
 
+    /// Notes a request that is sent to a leaf that bears `rate` requests a second while
+    /// it is cold.
+    pub fn spend_warmup(&self, rate: Option<f64>, hosts: usize, now: Instant) {
+        lock(&self.stats).warmup.sent(rate, hosts, now);
+    }
+
     /// Returns what the choice of a leaf goes by.
     #[must_use]
     pub fn candidate(&self, near: &str, now: Instant) -> Candidate {
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,3 +13,4 @@
 pub mod roster;
 pub mod routes;
 pub mod versions;
+pub mod warmup;
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -37,6 +37,15 @@
     pub born: u64,
 }
 
+impl Leaf {
+    /// Returns whether both are the same start of the same leaf.
+    #[must_use]
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        (&self.id, self.address, self.born) == (&other.id, other.address, other.born)
+            && self.service == other.service
+    }
+}
+
 /// Whether a leaf takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,6 +1,7 @@
 //! Sockets: callers, daemons, targets, the platform and operators.
 
 pub mod caller;
+pub mod fleet;
 pub mod hosts;
 pub mod http;
 pub mod leaf;
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -1,22 +1,42 @@
 //! The registry: where leaves, entry hosts and operators write what the fleet goes by.
 
 use {
-    crate::state::{
-        roster::{Member, News},
-        routes::RouteTable,
+    crate::{
+        collections::Name,
+        state::{
+            roster::{Member, News},
+            routes::RouteTable,
+        },
     },
+    bytes::Bytes,
     std::{fmt, future::Future, time::Duration},
 };
 
-/// What the registry holds or what changed in it.
+/// An entry as the registry holds it; only the platform's adapter reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its key.
+    pub key: Name,
+    /// Its value; `None` when it was removed.
+    pub value: Option<Bytes>,
+}
+
+/// Entries up to a revision.
+#[derive(Clone, Debug, Default)]
+pub struct Heard {
+    /// In the order of their changes.
+    pub entries: Vec<Entry>,
+    /// Revision up to which they go.
+    pub revision: u64,
+}
+
+/// What entries say.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
     /// The newest routes among the changes.
     pub routes: Option<RouteTable>,
     /// Leaves, domains and entry hosts, in the order of the changes.
     pub news: Vec<News>,
-    /// Revision up to which this goes.
-    pub revision: u64,
     /// Entries that could not be read, by key and reason.
     pub unreadable: Vec<String>,
 }
@@ -62,12 +82,15 @@
 
 /// The platform's registry as an entry host uses it.
 pub trait Registry: Send + Sync + 'static {
+    /// Returns what entries say.
+    fn decode(&self, entries: &[Entry]) -> Changes;
+
     /// Reads everything. With [`Freshness::Behind`] it may be seconds old, at a fraction
     /// of the cost: changes since are watched for from its revision.
     fn load(
         &self,
         freshness: Freshness,
-    ) -> impl Future<Output = Result<Changes, RegistryError>> + Send;
+    ) -> impl Future<Output = Result<Heard, RegistryError>> + Send;
 
     /// Returns what changed after `revision`, as soon as anything did, at the latest
     /// after `wait`.
@@ -75,7 +98,7 @@
         &self,
         revision: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<Changes, RegistryError>> + Send;
+    ) -> impl Future<Output = Result<Heard, RegistryError>> + Send;
 
     /// Writes this host's entry under a new lease of `length`.
     fn enlist(
