--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -71,8 +71,13 @@
     /// Follows the registry until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
         while !stop.is_cancelled() {
+            let due = self.known.roster.next_due();
             let heard = tokio::select! {
                 () = stop.cancelled() => break,
+                () = until(due) => {
+                    self.settle();
+                    continue;
+                }
                 heard = self.ask() => heard,
             };
             self.gateway.metrics.called(heard.is_ok());
@@ -111,6 +116,8 @@
             info!(self.gateway.log, "upkeep: the registry can be read again"; "revision" => heard.revision);
         }
         let is_whole = self.revision.is_none();
+        info!(self.gateway.log, "upkeep: heard"; "revision" => heard.revision,
+            "before" => self.revision, "entries" => heard.entries.len());
         let is_news = self.take(heard, is_whole);
         if is_news && !is_whole {
             WATCH_PAUSE
@@ -119,6 +126,14 @@
         }
     }
 
+    /// Lets removals take effect whose time has come.
+    fn settle(&mut self) {
+        let now = Millis::now();
+        if self.known.roster.tick(now).leaves {
+            self.gateway.publish(self.known.view(&self.gateway, now));
+        }
+    }
+
     /// Takes in entries; true when they changed what requests go by.
     fn take(&mut self, heard: Heard, is_whole: bool) -> bool {
         let now = Millis::now();
@@ -180,6 +195,14 @@
     }
 }
 
+/// Waits until `due`, for ever without one.
+async fn until(due: Option<Millis>) {
+    match due {
+        Some(due) => sleep(due.since(Millis::now())).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Keeps this host's entry in the registry until `stop`, then takes it out.
 pub async fn enlist<R: Registry>(gateway: Arc<Gateway>, registry: Arc<R>, stop: CancellationToken) {
     let settings = &gateway.settings;
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -188,6 +188,12 @@
         Changed::leaves(leaves.len() != before)
     }
 
+    /// Returns when the next doubted removal takes effect.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Millis> {
+        self.doubted.values().min().copied()
+    }
+
     /// Returns the leaves that may get new requests.
     pub fn usable(&self) -> impl Iterator<Item = &Leaf> {
         self.leaves
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod parts;
 mod policy;
 mod processes;
+mod roster;
 mod settings;
 mod snapshots;
 mod support;
--- /dev/null
+++ b/tests/testsuite/roster.rs
@@ -0,0 +1,113 @@
+//! What a registry tells of leaves, with its absences.
+
+use {
+    briarquay::{
+        clock::Millis,
+        state::roster::{Leaf, News, Phase, RETURN_TIME, Roster},
+    },
+    std::time::Duration,
+};
+
+const START: Millis = Millis(10_000);
+
+fn leaf(id: &str) -> Leaf {
+    Leaf {
+        id: id.into(),
+        service: "lecturas".into(),
+        address: ([10, 1, 64, 7], 8_080).into(),
+        domain: "xela-centro".into(),
+        slots: 2,
+        phase: Phase::Serving,
+        cold: Duration::ZERO,
+        born: 1_770_000_000_000,
+    }
+}
+
+fn roster(ids: &[&str]) -> Roster {
+    let mut roster = Roster::default();
+    for id in ids {
+        roster.hear(News::Leaf(leaf(id)), START);
+    }
+    roster
+}
+
+fn usable(roster: &Roster) -> Vec<String> {
+    let mut ids: Vec<String> = roster.usable().map(|leaf| leaf.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn a_removal_is_believed_at_once_while_the_registry_is_well() {
+    let mut roster = roster(&["a", "b"]);
+    let changed = roster.hear(News::LeafGone("a".into()), START);
+    assert!(changed.leaves);
+    assert_eq!(usable(&roster), ["b"]);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_stay_until_they_are_back_or_due() {
+    let mut roster = roster(&["a", "b"]);
+    roster.was_away(START);
+    roster.hear(News::LeafGone("a".into()), START);
+    roster.hear(News::LeafGone("b".into()), START);
+    assert_eq!(usable(&roster), ["a", "b"]);
+
+    roster.hear(News::Leaf(leaf("b")), START.plus(Duration::from_secs(1)));
+    let due = roster.next_due().expect("one removal is doubted");
+    assert_eq!(due, START.plus(RETURN_TIME));
+    assert!(roster.tick(due).leaves);
+    assert_eq!(usable(&roster), ["b"]);
+    assert_eq!(roster.next_due(), None);
+}
+
+#[test]
+fn a_doubted_removal_is_due_inside_the_drain_time() {
+    // A leaf that never says that it leaves may get requests for 3 s after its removal.
+    assert!(RETURN_TIME < Duration::from_secs(3));
+}
+
+#[test]
+fn a_leaf_that_said_it_leaves_is_never_doubted() {
+    let mut roster = roster(&["a"]);
+    roster.was_away(START);
+    let leaving = Leaf {
+        phase: Phase::Leaving,
+        ..leaf("a")
+    };
+    roster.hear(News::Leaf(leaving), START);
+    assert!(usable(&roster).is_empty());
+    roster.hear(News::LeafGone("a".into()), START);
+    assert_eq!(roster.next_due(), None);
+}
+
+#[test]
+fn a_domain_taken_out_has_no_usable_leaf_until_it_is_back() {
+    let mut roster = roster(&["a"]);
+    roster.hear(News::DomainOut("xela-centro".into()), START);
+    assert!(usable(&roster).is_empty());
+    roster.hear(News::DomainBack("xela-centro".into()), START);
+    assert_eq!(usable(&roster), ["a"]);
+}
+
+#[test]
+fn what_a_whole_reading_does_not_name_is_gone() {
+    let mut roster = roster(&["a", "b"]);
+    roster.hear(News::DomainOut("zacapa-uno".into()), START);
+    let changed = roster.replace(vec![News::Leaf(leaf("b"))], START);
+    assert!(changed.leaves);
+    assert_eq!(usable(&roster), ["b"]);
+    let again = roster.replace(vec![News::Leaf(leaf("b"))], START);
+    assert!(!again.leaves, "the same reading is no news");
+}
+
+#[test]
+fn a_start_under_the_same_id_is_another_leaf() {
+    let first = leaf("a");
+    let second = Leaf {
+        born: first.born + 1,
+        ..first.clone()
+    };
+    assert!(first.is_same_start(&first.clone()));
+    assert!(!first.is_same_start(&second));
+}
