--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -49,15 +49,15 @@
     ///
     /// Fails when an address can't be bound.
     pub fn start<R: Registry>(
-        settings: HostSettings,
+        mut settings: HostSettings,
         dialect: Dialect,
         registry: R,
         log: Logger,
     ) -> Result<Self> {
-        let callers = bind(settings.caller_address)?;
-        let ready = settings.ready_address.map(bind).transpose()?;
-        let peers = settings.peer_address.map(bind).transpose()?;
-        let metrics = settings.metrics_address.map(bind).transpose()?;
+        let callers = bind(&mut settings.caller_address)?;
+        let ready = settings.ready_address.as_mut().map(bind).transpose()?;
+        let peers = settings.peer_address.as_mut().map(bind).transpose()?;
+        let metrics = settings.metrics_address.as_mut().map(bind).transpose()?;
         let gateway = Arc::new(Gateway::new(settings, dialect, log)?);
         let registry = Arc::new(registry);
         let closing = CancellationToken::new();
@@ -102,6 +102,12 @@
         })
     }
 
+    /// Returns the settings, with the addresses that were bound.
+    #[must_use]
+    pub fn settings(&self) -> &HostSettings {
+        &self.gateway.settings
+    }
+
     /// Stops without cutting a request: the host is no longer ready, serves on while the
     /// balancer turns callers away, and finishes what they sent.
     pub async fn stop(mut self) {
@@ -125,13 +131,16 @@
     }
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener> {
+/// Binds `address`; a port of 0 becomes the one that the system chose.
+fn bind(address: &mut SocketAddr) -> Result<TcpListener> {
     let socket = TcpSocket::new_v4().wrap_err("open a socket")?;
     socket.set_reuseaddr(true).wrap_err("set an option")?;
     socket
-        .bind(address)
+        .bind(*address)
         .wrap_err_with(|| format!("bind {address}"))?;
-    socket
+    let listener = socket
         .listen(BACKLOG)
-        .wrap_err_with(|| format!("listen on {address}"))
+        .wrap_err_with(|| format!("listen on {address}"))?;
+    *address = listener.local_addr().wrap_err("read the bound address")?;
+    Ok(listener)
 }
