--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -8,7 +8,11 @@
     crate::{
         clock::Millis,
         collections::{Map, Name},
-        state::{allowance::Allowance, roster::Roster, routes::RouteTable},
+        state::{
+            allowance::Allowance,
+            roster::{Changed, Roster},
+            routes::RouteTable,
+        },
         transport::{
             fleet::Snapshot,
             registry::{Changes, Entry, Heard},
@@ -60,18 +64,19 @@
         for entry in &changes.unreadable {
             info!(gateway.log, "upkeep: an entry can't be read"; "entry" => entry);
         }
-        let mut changed = self.roster.tick(now);
-        if is_whole {
-            changed = changed.or(self.roster.replace(changes.news, now));
+        let due = self.roster.tick(now);
+        let told = if is_whole {
+            self.roster.replace(changes.news, now)
         } else {
-            for news in changes.news {
-                changed = changed.or(self.roster.hear(news, now));
-            }
-        }
+            let news = changes.news.into_iter();
+            news.map(|news| self.roster.hear(news, now))
+                .fold(Changed::default(), Changed::or)
+        };
         let is_newer = changes
             .routes
             .is_some_and(|routes| self.adopt(gateway, routes));
-        changed.leaves || changed.members || is_newer
+        let all = due.or(told);
+        all.leaves || all.members || is_newer
     }
 
     /// Keeps entries for other hosts.
--- a/src/policy/refuse.rs
+++ b/src/policy/refuse.rs
@@ -26,7 +26,7 @@
 const START_TIME: Duration = Duration::from_millis(300);
 
 /// Time in which a leaf that crashed or is replaced is mostly back.
-const RESTART_TIME: Duration = Duration::from_millis(1_000);
+const RESTART_TIME: Duration = Duration::from_secs(1);
 
 /// Queued requests that a full leaf works off before there is room, as a multiple of
 /// the usual time of one.
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -121,7 +121,7 @@
         Self {
             body_bytes: 256 << 10,
             head_time: Duration::from_secs(5),
-            idle_time: Duration::from_secs(60),
+            idle_time: Duration::from_mins(1),
         }
     }
 }
