--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -28,6 +28,8 @@
     pub registry_address: SocketAddr,
     /// What all hosts together may send beyond first requests.
     pub allowance: FleetAllowance,
+    /// Time in which what the registry tells must be in force.
+    pub news_time: Duration,
     /// Time from the order to stop until the process is killed.
     pub stop_time: Duration,
     /// Processor cores.
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -26,9 +26,9 @@
 /// in between.
 const AWAY_WATCH_TIME: Duration = Duration::from_secs(1);
 
-/// Pause between two watches, so that leaves and hosts that come and go in numbers cost
-/// one call; a change must be in force after 3 seconds.
-const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Part of the time in which news must be in force that passes between two watches, so
+/// that leaves and hosts that come and go in numbers cost one call.
+const WATCH_PAUSE: f64 = 0.16;
 
 /// Pause after a failed call: the platform's answer takes some milliseconds, and its
 /// rates are shared by all hosts.
@@ -120,7 +120,7 @@
             "before" => self.revision, "entries" => heard.entries.len());
         let is_news = self.take(heard, is_whole);
         if is_news && !is_whole {
-            WATCH_PAUSE
+            self.gateway.settings.news_time.mul_f64(WATCH_PAUSE)
         } else {
             Duration::ZERO
         }
