Tests of the shared allowance, of cold leaves' shares and of the bounded log

Change: a property over 1 to 12 hosts with loads and restarts, each window of 30 s; logs read by a reader that stops.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole, grouped by feature.
 
+mod allowance;
 mod callers;
 mod checkers;
 mod cluster;
@@ -7,6 +8,7 @@
 mod cuts;
 mod faults;
 mod fixtures;
+mod output;
 mod ownership;
 mod parts;
 mod policy;
