--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,13 +31,16 @@
 };
 
 use {
-    crate::{protocol::dialect::Dialect, transport::fleet::Held},
+    crate::{clock::Millis, protocol::dialect::Dialect, transport::fleet::Held},
     arc_swap::ArcSwap,
     eyre::Result,
     slog::Logger,
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -58,6 +61,8 @@
     pub doubted: Notify,
     view: ArcSwap<View>,
     stopping: AtomicBool,
+    /// When the registry, or another host, was last heard, milliseconds of this process.
+    heard: AtomicU64,
 }
 
 impl Gateway {
@@ -77,6 +82,7 @@
             doubted: Notify::new(),
             view: ArcSwap::default(),
             stopping: AtomicBool::new(false),
+            heard: AtomicU64::new(Millis::now().0),
         })
     }
 
@@ -91,6 +97,18 @@
         self.view.store(Arc::new(view));
     }
 
+    /// Notes that the registry, or another host, was heard.
+    pub fn note_heard(&self) {
+        self.heard.store(Millis::now().0, Ordering::Relaxed);
+    }
+
+    /// Returns the age of what is known: the time since the registry, or another host,
+    /// was heard.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        Millis::now().since(Millis(self.heard.load(Ordering::Relaxed)))
+    }
+
     /// Returns whether the host is about to stop.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -66,7 +66,7 @@
 fn refuse_unknown(gateway: &Gateway, id: &str) -> Reply {
     let after = refuse::retry_after(Reason::NoRoutes, None);
     info!(gateway.log, "serve: refused"; "request" => id,
-        "reason" => Reason::NoRoutes.name(), "after_ms" => millis(after));
+        "reason" => Reason::NoRoutes.name(), "known_ms" => millis(gateway.age()), "after_ms" => millis(after));
     gateway.metrics.refused(Reason::NoRoutes);
     answer::refused(after, Reason::NoRoutes.name())
 }
@@ -157,7 +157,7 @@
             .metrics
             .answered(&route.name, status, took, missing);
         info!(self.gateway.log, "serve: answered"; "request" => &*id, "route" => &*route.name,
-            "version" => self.version, "status" => status, "took_ms" => millis(took),
+            "version" => self.version, "known_ms" => millis(self.gateway.age()), "status" => status, "took_ms" => millis(took),
             "leaf" => story.leaf.as_deref(), "parts" => story.parts, "of" => story.total,
             "left_out" => story.left_out, "reason" => story.reason.map(Reason::name));
         reply
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -112,6 +112,7 @@
     }
 
     fn hear(&mut self, heard: Heard) -> Duration {
+        self.gateway.note_heard();
         if std::mem::take(&mut self.is_away) {
             info!(self.gateway.log, "upkeep: the registry can be read again"; "revision" => heard.revision);
         }
@@ -179,6 +180,7 @@
                 info!(self.gateway.log, "upkeep: learned from another host"; "peer" => %peer,
                     "revision" => snapshot.revision, "before" => revision,
                     "entries" => snapshot.entries.len());
+                self.gateway.note_heard();
                 self.known.note_peers(&snapshot.peers);
                 let heard = Heard {
                     entries: snapshot.entries,
@@ -186,7 +188,10 @@
                 };
                 self.take(heard, true);
             }
-            Ok(snapshot) => self.known.note_peers(&snapshot.peers),
+            Ok(snapshot) => {
+                self.gateway.note_heard();
+                self.known.note_peers(&snapshot.peers);
+            }
             Err(error) => {
                 info!(self.gateway.log, "upkeep: another host did not answer"; "peer" => %peer,
                     "error" => error.message());
