--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod domain;
 mod evict;
+mod explain;
 mod history;
 mod load;
 mod plan;
@@ -37,6 +38,8 @@
     Query(query::Args),
     /// Remove a member whose host is off for certain.
     Evict(evict::Args),
+    /// Print one request's story from an entry host's log.
+    Explain(explain::Args),
     /// Print shell completions.
     Completions(completions::Args),
     /// Run a stand-in of the platform or the targets.
@@ -97,6 +100,7 @@
     match command {
         Command::Check(args) => check::execute(&args),
         Command::Completions(args) => Ok(completions::execute(&args, program)),
+        Command::Explain(args) => explain::execute(&args),
         Command::Plan(args) => block_on(plan::execute(args)),
         Command::Apply(args) => block_on(apply::execute(args)),
         Command::Status(args) => block_on(status::execute(args)),
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -188,7 +188,7 @@
             hedged: run.hedged,
         };
         let sent = hedge::is_wanted(sends).then_some(run.sent).flatten()?;
-        Some(sent + self.hedge_delay)
+        Some(run.denied_until.unwrap_or(sent + self.hedge_delay))
     }
 
     fn wake(&mut self, now: Instant) {
@@ -212,24 +212,31 @@
 
     fn hedge(&mut self, place: usize, now: Instant) {
         let run = &mut self.runs[place];
-        run.hedged = true;
         let has_other = run.untried().next().is_some();
         if !has_other || !retry::is_allowed(&run.tries, Verdict::MayHaveRun) {
+            run.hedged = true;
             return;
         }
-        let send = if self.spend(place, now) {
+        let was_denied = run.denied_until.is_some();
+        let is_granted = self.spend(place, now);
+        let send = if is_granted {
             Send::Hedge
         } else {
             Send::Denied
         };
-        let run = &self.runs[place];
-        info!(self.gateway.log, "race: leaf late";
-            "request" => self.id(), "service" => run.name(), "leaf" => run.last_leaf(),
-            "waited_ms" => millis(run.age(now)), "usual_ms" => millis(self.usual),
-            "outcome" => send.name());
-        if send == Send::Hedge {
+        let run = &mut self.runs[place];
+        run.hedged = is_granted;
+        run.denied_until = (!is_granted).then(|| now + hedge::DENIED_PAUSE);
+        if is_granted || !was_denied {
+            let run = &self.runs[place];
+            info!(self.gateway.log, "race: leaf late";
+                "request" => self.id(), "service" => run.name(), "leaf" => run.last_leaf(),
+                "waited_ms" => millis(run.age(now)), "usual_ms" => millis(self.usual),
+                "outcome" => send.name());
+        }
+        if is_granted {
             self.launch(place, send, now);
-        } else {
+        } else if !was_denied {
             self.gateway.metrics.sent(send);
         }
     }
--- a/src/gateway/race/run.rs
+++ b/src/gateway/race/run.rs
@@ -24,8 +24,10 @@
     pub tries: Tries,
     /// When the first send was made.
     pub sent: Option<Instant>,
-    /// Whether another leaf was asked, or denied, because the first was late.
+    /// Whether another leaf was asked because the first was late, or there is none.
     pub hedged: bool,
+    /// When the allowance is asked again for a second leaf.
+    pub denied_until: Option<Instant>,
     /// When it is sent again.
     pub again: Option<(Instant, Again)>,
     /// Sends under way.
@@ -65,6 +67,7 @@
             tries: Tries::new(route.attempts, route.repeats),
             sent: None,
             hedged: false,
+            denied_until: None,
             again: None,
             pending: Vec::new(),
             failed_reply: None,
--- a/src/policy/hedge.rs
+++ b/src/policy/hedge.rs
@@ -12,6 +12,10 @@
 /// Shortest wait: timers and the network are no finer.
 const SHORTEST: Duration = Duration::from_millis(3);
 
+/// Pause before the allowance is asked again for a second leaf: it comes back with each
+/// request of the service.
+pub const DENIED_PAUSE: Duration = Duration::from_millis(20);
+
 /// Part of the aim in which a second leaf must be asked to be of use.
 const LAST_CHANCE: f64 = 0.5;
 
@@ -37,7 +41,7 @@
     pub repeats: Repeats,
     /// Sends under way.
     pub pending: usize,
-    /// Whether another leaf was asked, or denied, because the first was late.
+    /// Whether another leaf was asked because the first was late, or there is none.
     pub hedged: bool,
 }
 
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -71,3 +71,26 @@
     assert_eq!(code, 1);
     assert!(text.contains("--host-is-off"), "{text}");
 }
+
+#[test]
+fn explain_prints_one_requests_lines_in_order() {
+    let mut log = NamedTempFile::new().expect("a file");
+    let lines = [
+        r#"{"msg":"serve: answered","ts":"2026-01-01T00:00:02Z","daemon":"a","request":"id-1","status":502,"reason":null}"#,
+        r#"3.2 a {"msg":"race: send failed","ts":"2026-01-01T00:00:01Z","daemon":"a","request":"id-1","cause":"crashed"}"#,
+        r#"{"msg":"serve: answered","ts":"2026-01-01T00:00:01Z","daemon":"a","request":"id-10"}"#,
+        "no JSON that names id-1",
+    ];
+    for line in lines {
+        writeln!(log, "{line}").expect("it is written");
+    }
+    let path = log.path().to_str().expect("a path");
+
+    let (code, text) = run_tool(&["explain", "id-1", "--log", path]);
+
+    let expected = "2026-01-01T00:00:01Z a race: send failed cause=crashed\n\
+                    2026-01-01T00:00:02Z a serve: answered status=502\n";
+    assert_eq!((code, text.as_str()), (0, expected));
+    let (code, text) = run_tool(&["explain", "id-2", "--log", path]);
+    assert_eq!((code, text.as_str()), (1, "no line names request id-2\n"));
+}
