--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,7 +26,7 @@
 
 pub use self::{
     metrics::Metrics,
-    settings::HostSettings,
+    settings::{HostSettings, Reloaded},
     view::{LeafHandle, View},
 };
 
@@ -34,7 +34,7 @@
     crate::{clock::Millis, protocol::dialect::Dialect, transport::fleet::Held},
     arc_swap::ArcSwap,
     eyre::Result,
-    slog::Logger,
+    slog::{Logger, info},
     std::{
         sync::{
             Arc,
@@ -47,8 +47,9 @@
 
 /// What all requests of one host share.
 pub struct Gateway {
-    /// The host's settings.
+    /// The host's settings, as of its start.
     pub settings: HostSettings,
+    reloaded: ArcSwap<Reloaded>,
     /// Header names.
     pub dialect: Dialect,
     /// Log.
@@ -74,6 +75,7 @@
     pub fn new(settings: HostSettings, dialect: Dialect, log: Logger) -> Result<Self> {
         let metrics = Metrics::new()?;
         Ok(Self {
+            reloaded: ArcSwap::from_pointee(Reloaded::of(&settings)),
             settings,
             dialect,
             log,
@@ -86,6 +88,22 @@
         })
     }
 
+    /// Returns the settings that can change while the host runs.
+    #[must_use]
+    pub fn reloaded(&self) -> Arc<Reloaded> {
+        self.reloaded.load_full()
+    }
+
+    /// Puts settings in force that were read again, as far as they can change while the
+    /// host runs.
+    pub fn reload(&self, settings: &HostSettings) {
+        let now = Reloaded::of(settings);
+        let before = self.reloaded.swap(Arc::new(now.clone()));
+        info!(self.log, "host: settings read again"; "changed" => *before != now,
+            "seeds" => now.seeds.len(),
+            "restart_needed" => !self.settings.differs_only_in_reloaded(settings));
+    }
+
     /// Returns what is known now.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -108,6 +108,11 @@
         &self.gateway.settings
     }
 
+    /// Puts settings in force that were read again.
+    pub fn reload(&self, settings: &HostSettings) {
+        self.gateway.reload(settings);
+    }
+
     /// Stops without cutting a request: the host is no longer ready, serves on while the
     /// balancer turns callers away, and finishes what they sent.
     pub async fn stop(mut self) {
--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Gateway, HostSettings,
+        Gateway,
         view::{LeafHandle, Learned, Service, View},
     },
     crate::{
@@ -120,11 +120,12 @@
 
     /// Returns the other entry hosts that may answer.
     #[must_use]
-    pub fn peers(&self, settings: &HostSettings) -> Vec<SocketAddr> {
+    pub fn peers(&self, gateway: &Gateway) -> Vec<SocketAddr> {
+        let reloaded = gateway.reloaded();
         let members = self.roster.members().map(|member| member.address);
         let all = members.chain(self.told.iter().copied());
-        let mut all: Vec<SocketAddr> = all.chain(settings.seeds.iter().copied()).collect();
-        all.retain(|peer| Some(*peer) != settings.peer_address);
+        let mut all: Vec<SocketAddr> = all.chain(reloaded.seeds.iter().copied()).collect();
+        all.retain(|peer| Some(*peer) != gateway.settings.peer_address);
         all.sort_unstable();
         all.dedup();
         all
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -366,7 +366,7 @@
     fn earn(&self, place: usize, now: Instant) {
         if let Some(service) = &self.runs[place].service {
             let mut allowance = lock(&service.allowance);
-            allowance.earn(&self.gateway.settings.allowance, self.view.hosts, now);
+            allowance.earn(&self.gateway.reloaded().allowance, self.view.hosts, now);
         }
     }
 
@@ -375,6 +375,6 @@
             return false;
         };
         let mut allowance = lock(&service.allowance);
-        allowance.spend(&self.gateway.settings.allowance, self.view.hosts, now)
+        allowance.spend(&self.gateway.reloaded().allowance, self.view.hosts, now)
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -35,3 +35,36 @@
     /// Processor cores.
     pub cores: usize,
 }
+
+/// Settings that can change while the host runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reloaded {
+    /// Other entry hosts that may answer while the registry does not.
+    pub seeds: Vec<SocketAddr>,
+    /// What all hosts together may send beyond first requests.
+    pub allowance: FleetAllowance,
+}
+
+impl Reloaded {
+    /// Returns those of `settings`.
+    #[must_use]
+    pub fn of(settings: &HostSettings) -> Self {
+        Self {
+            seeds: settings.seeds.clone(),
+            allowance: settings.allowance,
+        }
+    }
+}
+
+impl HostSettings {
+    /// Returns whether `other` can be put in force without a restart. Ports that the
+    /// system chose are left out of the comparison.
+    #[must_use]
+    pub fn differs_only_in_reloaded(&self, other: &Self) -> bool {
+        (&self.id, &self.domain, self.registry_address)
+            == (&other.id, &other.domain, other.registry_address)
+            && self.caller_address.ip() == other.caller_address.ip()
+            && (self.news_time, self.stop_time, self.cores)
+                == (other.news_time, other.stop_time, other.cores)
+    }
+}
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -170,7 +170,7 @@
 
     /// Learns from another entry host.
     async fn ask_peer(&mut self) {
-        let peers = self.known.peers(&self.gateway.settings);
+        let peers = self.known.peers(&self.gateway);
         let Some(peer) = peers.choose(&mut rand::rng()) else {
             return;
         };
