An address that another leaf has is left at the first word of it

Each transmission counted against what was paid: no service had more than 127 beyond the first, so they were others' requests: a crashed leaf's address was taken by a leaf of counter-desk~6, the registry named the old one for seconds more, and 174 requests of another service came to it and got 421. Ruled out: the number of hosts (6 throughout), hedges and retries that nothing paid for. Change: after a 421 the leaf is not asked again by this host.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,7 +12,8 @@
     },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{HeaderMap, Method, Request, Uri, header::HeaderValue},
+    hyper::{HeaderMap, Method, Request, StatusCode, Uri, header::HeaderValue},
+    slog::{Logger, info},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -57,6 +58,8 @@
 
 /// A send that is about to be made.
 pub struct Call {
+    /// Log.
+    pub log: Logger,
     /// The leaf.
     pub leaf: Arc<LeafHandle>,
     /// What is learned of the route.
@@ -99,6 +102,10 @@
             match connection.exchange(self.request(dialect), dialect).await {
                 Ok((reply, kept)) => {
                     place.give_back(kept);
+                    if reply.status == StatusCode::MISDIRECTED_REQUEST && self.leaf.note_gone() {
+                        info!(self.log, "call: another leaf has the address"; "request" => &*self.outgoing.id,
+                            "leaf" => &*self.leaf.leaf.id, "address" => %self.leaf.leaf.address);
+                    }
                     return classify(dialect, reply);
                 }
                 // The leaf closed a kept connection at rest: nothing was sent.
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -268,6 +268,7 @@
         };
         self.gateway.metrics.sent(send);
         let call = Call {
+            log: self.gateway.log.clone(),
             leaf: Arc::clone(&leaf),
             learned: Arc::clone(&self.learned),
             outgoing: Arc::clone(&self.outgoing),
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -82,6 +82,8 @@
     pending: Vec<Pending>,
     next: u64,
     warmup: Warmup,
+    /// Whether another leaf answers at its address.
+    is_gone: bool,
 }
 
 #[derive(Debug)]
@@ -175,11 +177,19 @@
         lock(&self.stats).warmup.note(left, now);
     }
 
-    /// Returns whether a request may be sent to it: a cold leaf that bears only `rate`
-    /// requests a second gets this host's share of them.
+    /// Returns whether a request may be sent to it: not once another leaf answers at its
+    /// address; a cold leaf that bears only `rate` requests a second gets this host's
+    /// share of them.
     #[must_use]
     pub fn is_allowed(&self, rate: Option<f64>, now: Instant) -> bool {
-        lock(&self.stats).warmup.is_allowed(rate, now)
+        let stats = lock(&self.stats);
+        !stats.is_gone && stats.warmup.is_allowed(rate, now)
+    }
+
+    /// Notes that another leaf answers at its address: it has ended, whatever the registry
+    /// still says. Returns whether that is new.
+    pub fn note_gone(&self) -> bool {
+        !std::mem::replace(&mut lock(&self.stats).is_gone, true)
     }
 
     /// Counts a request that is about to be sent; its reply usually takes `usual`.
