--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod cuts;
 mod faults;
 mod fixtures;
+mod merge;
 mod output;
 mod ownership;
 mod parts;
--- /dev/null
+++ b/tests/testsuite/merge.rs
@@ -0,0 +1,124 @@
+//! Answers of many shards, splits and routes, with drawn inputs.
+
+use {
+    arbtest::{arbitrary::Unstructured, arbtest},
+    briarquay::{
+        collections::Map,
+        policy::{
+            merge::{self, RECORD},
+            split::Split,
+        },
+        state::routes::{CallerLimits, Destination, Part, Repeats, Route, RouteTable},
+    },
+    bytes::Bytes,
+    std::time::Duration,
+};
+
+#[test]
+fn the_merge_is_the_greatest_of_all_records_sorted() {
+    arbtest(|random: &mut Unstructured<'_>| {
+        let mut bodies = Vec::new();
+        for _ in 0..random.int_in_range(0..=6)? {
+            let length = random.int_in_range(0..=80)?;
+            // Few different bytes make equal records likely.
+            let mut body = Vec::new();
+            for _ in 0..length {
+                body.push(random.int_in_range(0..=1)?);
+            }
+            bodies.push(Bytes::from(body));
+        }
+        let limit = random.int_in_range(0..=12)?;
+        let mut all: Vec<&[u8]> = bodies
+            .iter()
+            .flat_map(|body| body.chunks_exact(RECORD))
+            .collect();
+        all.sort_unstable();
+        all.reverse();
+        all.truncate(limit);
+        assert_eq!(merge::greatest(bodies.iter(), limit), all.concat());
+        Ok(())
+    })
+    .seed(0x00B8_7A40_0002_0000)
+    .run();
+}
+
+#[test]
+fn a_split_keeps_its_weights_in_short_stretches() {
+    arbtest(|random: &mut Unstructured<'_>| {
+        let mut parts = Vec::new();
+        for place in 0..random.int_in_range(1..=4)? {
+            parts.push(Part {
+                service: format!("s{place}").into(),
+                weight: f64::from(random.int_in_range::<u8>(1..=9)?),
+            });
+        }
+        let total: f64 = parts.iter().map(|part| part.weight).sum();
+        let mut split = Split::default();
+        let mut counts = vec![0.0; parts.len()];
+        for number in 1..=40 {
+            counts[split.choose(&parts).expect("there are parts")] += 1.0;
+            for (part, count) in parts.iter().zip(&counts) {
+                let due = part.weight / total * f64::from(number);
+                assert!(
+                    (count - due).abs() <= 2.0,
+                    "{count} of {due} after {number}"
+                );
+            }
+        }
+        Ok(())
+    })
+    .seed(0x00B8_7A40_0003_0000)
+    .run();
+}
+
+#[test]
+fn a_split_without_weights_has_no_part() {
+    let part = Part {
+        service: "s".into(),
+        weight: 0.0,
+    };
+    assert_eq!(Split::default().choose(&[part]), None);
+}
+
+fn route(prefix: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "desk.example".into(),
+        prefix: prefix.into(),
+        repeats: Repeats::Safe,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(100),
+        rank: 0,
+        attempts: 2,
+        destination: Destination::Split(Vec::new()),
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins_whatever_the_order() {
+    arbtest(|random: &mut Unstructured<'_>| {
+        let word = |random: &mut Unstructured<'_>| -> arbtest::arbitrary::Result<String> {
+            let mut text = String::from("/");
+            for _ in 0..random.int_in_range(0..=3)? {
+                text.push_str(random.choose(&["a/", "b/"])?);
+            }
+            Ok(text)
+        };
+        let mut prefixes = Vec::new();
+        for _ in 0..5 {
+            prefixes.push(word(random)?);
+        }
+        let path = word(random)? + "x";
+        let routes = prefixes.iter().map(|prefix| route(prefix)).collect();
+        let table = RouteTable::new(1, CallerLimits::default(), routes, Map::default());
+        let found = table.route("desk.example", &path);
+        let matching = prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(prefix.as_str()));
+        let longest = matching.map(String::len).max();
+        assert_eq!(found.map(|route| route.prefix.len()), longest);
+        Ok(())
+    })
+    .seed(0x00B8_7A40_0004_0000)
+    .run();
+}
