Under overload a host takes on fewer gathered requests and refuses the rest at once

Change: policy/admit: a limit of requests at once for each set of shards, which falls when leaves turn away over a tenth and rises while all goes well; the less urgent first; 503 with a time.

--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -8,6 +8,7 @@
     crate::{
         clock::Millis,
         collections::{Map, Name},
+        policy::admit::Admission,
         state::{
             allowance::Allowance,
             roster::{Changed, Roster},
@@ -43,6 +44,7 @@
     routes: Option<Arc<RouteTable>>,
     leaves: Map<Name, Arc<LeafHandle>>,
     allowances: Map<Name, Arc<Mutex<Allowance>>>,
+    admissions: Map<Name, Arc<Mutex<Admission>>>,
     learned: Map<Name, Arc<Learned>>,
     /// Numbers of entry hosts seen lately, with the time of each.
     counts: VecDeque<(Millis, usize)>,
@@ -203,6 +205,7 @@
                 name: name.clone(),
                 leaves,
                 allowance: Arc::clone(allowance),
+                admission: Arc::clone(self.admissions.entry(name.clone()).or_default()),
             };
             (name, Arc::new(service))
         });
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -49,6 +49,8 @@
     started: Instant,
     limit: Duration,
     least: usize,
+    /// Sends that leaves turned away.
+    pub refused: usize,
     /// One for each service that must reply.
     pub runs: Vec<Run>,
     calls: Calls,
@@ -107,6 +109,7 @@
             outgoing: Arc::new(outgoing),
             started,
             least,
+            refused: 0,
             runs,
             calls: Calls::default(),
             sender,
@@ -338,6 +341,7 @@
             Outcome::Failed(Failed { failure, arrived }) => (failure, None, arrived),
         };
         self.gateway.metrics.failed(failure.cause);
+        self.refused += usize::from(failure.cause == Cause::Shed);
         run.tries.failed(failure.verdict, arrived);
         let next = retry::decide(&run.tries, failure, arrived, run.untried().next().is_some());
         if failure.cause != Cause::Overloaded {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,12 +9,13 @@
             Race,
             run::{Run, State},
         },
-        view::View,
+        view::{View, lock},
     },
     crate::{
         clock::millis,
         collections::Name,
         policy::{
+            admit::Admission,
             refuse::{self, Reason},
             wait::Wait,
         },
@@ -26,7 +27,10 @@
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{Request, StatusCode, Uri, body::Incoming, header},
     slog::info,
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
 };
 
 /// Answers one request.
@@ -194,7 +198,11 @@
         if race.reachable() < least {
             return self.refused(Reason::TooFewShards);
         }
+        let Some(admitted) = self.admit(shards) else {
+            return self.refused(Reason::Overloaded);
+        };
         let wait = race.run().await;
+        admitted.end(race.refused, race.runs.len(), self.route.aim);
         let mut parts: Vec<&LeafReply> = Vec::with_capacity(race.runs.len());
         let mut left_out: Vec<&str> = Vec::new();
         for run in &race.runs {
@@ -218,6 +226,19 @@
         self.failed(gathered_failure(&race.runs), story)
     }
 
+    /// Takes the request on, unless the shards have too much to do.
+    fn admit(&self, shards: &Shards) -> Option<Admitted> {
+        let first = shards.services.first()?;
+        let Some(service) = self.view.services.get(first) else {
+            return Some(Admitted { admission: None });
+        };
+        let admission = Arc::clone(&service.admission);
+        let is_taken = lock(&admission).begin(self.route.rank);
+        is_taken.then_some(Admitted {
+            admission: Some(admission),
+        })
+    }
+
     fn race(&self, services: &[Name], least: usize, outgoing: Outgoing) -> Race<'_> {
         Race::new(
             self.gateway,
@@ -264,6 +285,27 @@
     }
 }
 
+/// A request that was taken on; counts until it ends or its caller leaves.
+struct Admitted {
+    admission: Option<Arc<Mutex<Admission>>>,
+}
+
+impl Admitted {
+    fn end(mut self, refused: usize, shards: usize, aim: Duration) {
+        if let Some(admission) = self.admission.take() {
+            lock(&admission).end(refused, shards, aim, Instant::now());
+        }
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if let Some(admission) = &self.admission {
+            lock(admission).leave();
+        }
+    }
+}
+
 /// Returns why too few shards replied: what the worst of them may have done.
 fn gathered_failure(runs: &[Run]) -> Failure {
     let lost = runs.iter().filter_map(|run| match run.state {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         collections::{Map, Name},
-        policy::{place::Candidate, split::Split},
+        policy::{admit::Admission, place::Candidate, split::Split},
         protocol::dialect::Load,
         state::{
             allowance::Allowance,
@@ -55,6 +55,9 @@
     pub leaves: Vec<Arc<LeafHandle>>,
     /// What this host may send again; outlives the view.
     pub allowance: Arc<Mutex<Allowance>>,
+    /// Requests taken on for the set of shards that begins with this service; outlives
+    /// the view.
+    pub admission: Arc<Mutex<Admission>>,
 }
 
 /// What is learned of a route while it serves.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,6 +1,7 @@
 //! What an entry host decides for a request, one decision a module: facts in, a
 //! verdict out. No socket, clock or task inside; ages and times come as arguments.
 
+pub mod admit;
 pub mod hedge;
 pub mod merge;
 pub mod place;
--- a/src/policy/refuse.rs
+++ b/src/policy/refuse.rs
@@ -16,10 +16,10 @@
     TooFewShards,
     /// Every leaf asked is full.
     Full,
+    /// The leaves of the shards turn away too much.
+    Overloaded,
     /// No leaf could be reached.
     Unreachable,
-    /// This host has more work than it can do in time.
-    HostBusy,
 }
 
 /// Time in which a starting host learns the routes.
@@ -35,8 +35,9 @@
 /// Wait while nothing is known of the usual time.
 const UNKNOWN_TIME: Duration = Duration::from_millis(100);
 
-/// Time after which another host, which a new attempt most likely meets, can serve.
-const OTHER_HOST_TIME: Duration = Duration::from_millis(20);
+/// Time in which hosts find out how much the leaves of overloaded shards can take: a few
+/// falls and rises of what they take on.
+const OVERLOAD_TIME: Duration = Duration::from_millis(300);
 
 /// Returns when a caller refused for `reason` should come back. `usual` is the usual
 /// time of the route's requests.
@@ -46,8 +47,8 @@
         Reason::NoRoutes => START_TIME,
         Reason::NoLeaf | Reason::TooFewShards => RESTART_TIME,
         Reason::Full => usual.map_or(UNKNOWN_TIME, |usual| usual * DRAIN_REQUESTS),
+        Reason::Overloaded => OVERLOAD_TIME,
         Reason::Unreachable => RESTART_TIME / 2,
-        Reason::HostBusy => OTHER_HOST_TIME,
     }
 }
 
@@ -60,8 +61,8 @@
             Self::NoLeaf => "no_leaf",
             Self::TooFewShards => "too_few_shards",
             Self::Full => "full",
+            Self::Overloaded => "overloaded",
             Self::Unreachable => "unreachable",
-            Self::HostBusy => "host_busy",
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole, grouped by feature.
 
+mod admission;
 mod allowance;
 mod callers;
 mod checkers;
