Hosts that were there until a moment ago still count in the fleet's shares

The number of entry hosts is remembered for 10 s, by the time at which it was noted, not until which it held: after a calm stretch of over 10 s the first lower number dropped the old one, so leases that lapse together would give each host many times its share of what the fleet may send again and of connections to leaves, at once. Change: noting a number refreshes the one before it; the memory is a type of its own.

--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -11,6 +11,7 @@
         policy::admit::Admission,
         state::{
             allowance::Allowance,
+            headcount::Headcount,
             roster::{Changed, Roster},
             routes::RouteTable,
         },
@@ -22,20 +23,12 @@
     bytes::Bytes,
     slog::info,
     std::{
-        collections::VecDeque,
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::{Duration, Instant},
+        time::Instant,
     },
 };
 
-/// Time for which hosts that are gone still count among those that share the fleet's
-/// limits: what they sent again counts that long.
-const MEMORY_TIME: Duration = Duration::from_secs(10);
-
-/// Hosts that share the limits while their number is not known.
-const UNKNOWN_HOSTS: usize = 16;
-
 /// What a host knows.
 #[derive(Default)]
 pub struct Known {
@@ -46,8 +39,7 @@
     allowances: Map<Name, Arc<Mutex<Allowance>>>,
     admissions: Map<Name, Arc<Mutex<Admission>>>,
     learned: Map<Name, Arc<Learned>>,
-    /// Numbers of entry hosts seen lately, with the time of each.
-    counts: VecDeque<(Millis, usize)>,
+    headcount: Headcount,
     entries: Map<Name, Bytes>,
     revision: u64,
     /// Entry hosts that others told of.
@@ -136,7 +128,8 @@
     /// Returns a view of all that is known.
     #[must_use]
     pub fn view(&mut self, gateway: &Gateway, now: Millis) -> View {
-        let hosts = self.hosts(now);
+        let present = self.roster.members().count();
+        let hosts = self.headcount.note(present, now);
         let services = self.usable(gateway);
         let mut learned = Map::default();
         for route in self.routes.iter().flat_map(|routes| routes.routes()) {
@@ -211,19 +204,4 @@
         });
         with_allowance.collect()
     }
-
-    /// Returns the most entry hosts seen within [`MEMORY_TIME`].
-    fn hosts(&mut self, now: Millis) -> usize {
-        let present = self.roster.members().count();
-        self.counts.push_back((now, present));
-        while self
-            .counts
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > MEMORY_TIME && self.counts.len() > 1)
-        {
-            self.counts.pop_front();
-        }
-        let most = self.counts.iter().map(|(_, count)| *count).max();
-        most.filter(|most| *most > 0).unwrap_or(UNKNOWN_HOSTS)
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod catalog;
+pub mod headcount;
 pub mod health;
 pub mod latency;
 pub mod leaves;
--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -2,9 +2,13 @@
 
 use {
     arbtest::{arbitrary::Unstructured, arbtest},
-    briarquay::state::{
-        allowance::{Allowance, FleetAllowance},
-        warmup::Warmup,
+    briarquay::{
+        clock::Millis,
+        state::{
+            allowance::{Allowance, FleetAllowance},
+            headcount::{Headcount, MEMORY_TIME},
+            warmup::Warmup,
+        },
     },
     std::time::{Duration, Instant},
 };
@@ -126,3 +130,19 @@
     warmup.note(Duration::from_millis(2_900), start + Duration::from_secs(4));
     assert!(warmup.is_cold(start + Duration::from_secs(5)));
 }
+
+#[test]
+fn entries_that_lapse_together_after_a_calm_hour_do_not_raise_any_share_at_once() {
+    let mut headcount = Headcount::default();
+    assert_eq!(headcount.note(9, Millis(1_000)), 9);
+    let lapsed = Millis(3_600_000);
+    assert_eq!(headcount.note(1, lapsed), 9);
+    assert_eq!(headcount.note(1, lapsed.plus(MEMORY_TIME / 2)), 9);
+    let later = lapsed.plus(MEMORY_TIME * 2);
+    assert_eq!(headcount.note(1, later), 1, "they are gone for good");
+}
+
+#[test]
+fn an_unknown_number_of_hosts_counts_as_many() {
+    assert!(Headcount::default().note(0, Millis(0)) > 9);
+}
