A query of many shards is asked by several hosts in concert

Cause: a query of 180 to 270 shards is some 12 ms of processor on the host that took it, 100 ms and more on an eighth of a core, against aims of 50 and 100 ms, while the fleet idles.

Change: policy/divide divides a query's shards among few hosts, the most powerful of the domains that have the shards' leaves; each asks and merges (gateway/piece), the host that took the query merges the merged (gateway/gather). Pieces go over one HTTP/2 connection a pair of hosts, and their response begins once they are taken on; who does not take one on in a fifth of the aim is given up if the allowance lets others ask (policy/reassign), and second sends are held back until then. Small fleets and few shards stay as they were.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,10 +16,13 @@
 pub mod answer;
 pub mod call;
 pub mod enlist;
+pub mod gather;
+pub mod helpers;
 pub mod host;
 pub mod known;
 pub mod listener;
 pub mod metrics;
+pub mod piece;
 pub mod race;
 pub mod serve;
 pub mod settings;
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,7 +1,11 @@
 //! The caller's response, made of what leaves replied.
 
 use {
-    crate::{policy::merge, protocol::dialect::Dialect, transport::leaf::LeafReply},
+    crate::{
+        policy::merge,
+        protocol::dialect::Dialect,
+        transport::{fleet::Parts, leaf::LeafReply},
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -56,26 +60,38 @@
     response
 }
 
-/// Merges the replies of shards; `total` shards were to reply.
+/// Returns the digests of replies, joined by commas.
 #[must_use]
-pub fn merged(dialect: &Dialect, parts: &[&LeafReply], total: usize, records: usize) -> Reply {
-    let body = merge::greatest(parts.iter().map(|part| &part.body), records);
-    let mut digests = Vec::new();
-    for digest in parts
+pub fn digests(dialect: &Dialect, replies: &[&LeafReply]) -> Bytes {
+    let digests = replies
         .iter()
-        .filter_map(|part| dialect.digest(&part.headers))
-    {
-        if !digests.is_empty() {
-            digests.extend_from_slice(b", ");
+        .filter_map(|reply| dialect.digest(&reply.headers));
+    joined(digests.map(HeaderValue::as_bytes))
+}
+
+fn joined<'a>(digests: impl Iterator<Item = &'a [u8]>) -> Bytes {
+    let mut all = Vec::new();
+    for digest in digests.filter(|digest| !digest.is_empty()) {
+        if !all.is_empty() {
+            all.extend_from_slice(b", ");
         }
-        digests.extend_from_slice(digest.as_bytes());
+        all.extend_from_slice(digest);
     }
+    all.into()
+}
+
+/// Merges the replies of shards; `total` shards were to reply.
+#[must_use]
+pub fn merged(dialect: &Dialect, parts: &[Parts], total: usize, records: usize) -> Reply {
+    let body = merge::greatest(parts.iter().map(|part| &part.records), records);
+    let digests = joined(parts.iter().map(|part| &*part.digests));
+    let count: usize = parts.iter().map(|part| part.count).sum();
     let mut response = Response::new(Full::new(body));
     let headers = response.headers_mut();
-    if let Ok(digests) = HeaderValue::from_bytes(&digests) {
+    if let Ok(digests) = HeaderValue::from_maybe_shared(digests) {
         headers.insert(dialect.part_digests.clone(), digests);
     }
-    let missing = HeaderValue::from(total - parts.len());
+    let missing = HeaderValue::from(total.saturating_sub(count));
     headers.insert(dialect.missing_parts.clone(), missing);
     response
 }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -1,7 +1,7 @@
 //! A whole entry host: its listeners, and the tasks that keep up what it knows.
 
 use {
-    super::{Gateway, HostSettings, enlist, listener, upkeep::Follower},
+    super::{Gateway, HostSettings, enlist, listener, piece::Helping, upkeep::Follower},
     crate::{
         clock::millis,
         protocol::dialect::Dialect,
@@ -128,7 +128,8 @@
 }
 
 async fn serve_peers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
-    if let Err(error) = fleet::serve(listener, gateway.held.clone(), stop).await {
+    let pieces = Helping(Arc::clone(&gateway));
+    if let Err(error) = fleet::serve(listener, gateway.held.clone(), pieces, stop).await {
         error!(gateway.log, "host: the server for other hosts ended"; "error" => %error);
     }
 }
--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Gateway,
+        helpers::Helpers,
         view::{LeafHandle, Learned, Service, View},
     },
     crate::{
@@ -16,7 +17,7 @@
             routes::RouteTable,
         },
         transport::{
-            fleet::Snapshot,
+            fleet::{Snapshot, Told},
             registry::{Changes, Entry, Heard},
         },
     },
@@ -40,6 +41,7 @@
     admissions: Map<Name, Arc<Mutex<Admission>>>,
     learned: Map<Name, Arc<Learned>>,
     headcount: Headcount,
+    helpers: Arc<Helpers>,
     entries: Map<Name, Bytes>,
     revision: u64,
     /// Entry hosts that others told of.
@@ -108,7 +110,7 @@
         });
         Snapshot {
             revision: self.revision,
-            entries: entries.collect(),
+            entries: Arc::new(Told::new(entries.collect())),
             peers: self.roster.members().map(|member| member.address).collect(),
         }
     }
@@ -136,6 +138,7 @@
     pub fn view(&mut self, gateway: &Gateway, now: Millis) -> View {
         let present = self.roster.members().count();
         let hosts = self.headcount.note(present, now);
+        self.helpers = Arc::new(Helpers::new(self.roster.members(), &self.helpers));
         let services = self.usable(gateway);
         let mut learned = Map::default();
         for route in self.routes.iter().flat_map(|routes| routes.routes()) {
@@ -151,6 +154,7 @@
             hosts,
             services: self.services(services),
             learned: self.learned.clone(),
+            helpers: Arc::clone(&self.helpers),
         }
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     sends: Sends,
     failures: IntCounterVec,
     missing: IntCounterVec,
+    pieces: IntCounterVec,
     registry_calls: IntCounterVec,
     /// Version of the routes in force.
     pub version: IntGauge,
@@ -82,6 +83,32 @@
     }
 }
 
+/// How handing some shards of a request to another host went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// It took them on.
+    Taken,
+    /// It said that it asks no leaf.
+    Refused,
+    /// It could not be reached, or the connection broke.
+    Failed,
+    /// It did not say in time that it takes them on.
+    Late,
+}
+
+impl Piece {
+    /// Returns the name that metrics use.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Late => "late",
+        }
+    }
+}
+
 impl Metrics {
     /// Returns metrics in a registry of their own.
     ///
@@ -118,6 +145,11 @@
             )?),
             failures: counters("leaf_failures_total", "Failed sends by cause", &["cause"])?,
             missing: counters("left_out_total", "Shards left out by route", &["route"])?,
+            pieces: counters(
+                "pieces_total",
+                "Pieces of requests handed to other hosts by outcome",
+                &["outcome"],
+            )?,
             registry_calls: counters(
                 "registry_calls_total",
                 "Calls to the registry by result",
@@ -169,6 +201,11 @@
         self.failures.with_label_values(&[cause.name()]).inc();
     }
 
+    /// Notes how handing a piece to another host went.
+    pub fn handed(&self, outcome: Piece) {
+        self.pieces.with_label_values(&[outcome.name()]).inc();
+    }
+
     /// Notes a call to the registry.
     pub fn called(&self, is_ok: bool) {
         let result = if is_ok { "ok" } else { "failed" };
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -1,5 +1,5 @@
 //! Sends a request to one leaf of each of its services, and to others beside leaves
-//! that are late or fail, until the policy says that it is enough.
+//! that are late or fail, for as long as it is asked to.
 
 use {
     super::{
@@ -15,9 +15,11 @@
             hedge::{self, Sends},
             place,
             retry::{self, Next},
-            wait::{self, Progress, Wait},
         },
-        protocol::verdict::{Cause, Failure, Verdict},
+        protocol::{
+            dialect::Dialect,
+            verdict::{Cause, Failure, Verdict},
+        },
         state::routes::{Destination, Route},
     },
     slog::info,
@@ -37,8 +39,8 @@
 use self::run::{Again, Run, State};
 
 /// One request at the leaves.
-pub struct Race<'a> {
-    gateway: &'a Arc<Gateway>,
+pub struct Race {
+    gateway: Arc<Gateway>,
     view: Arc<View>,
     route: Arc<Route>,
     learned: Arc<Learned>,
@@ -47,8 +49,10 @@
     usual: Duration,
     hedge_delay: Duration,
     started: Instant,
-    limit: Duration,
-    least: usize,
+    /// Whether another host may have asked leaves of these services before.
+    is_repeat: bool,
+    /// Until then no second leaf of a service is asked in which the first may have run it.
+    held: Instant,
     /// Replies after which the other shards' waits are known better.
     telling: Option<usize>,
     /// Replies so far.
@@ -83,16 +87,15 @@
     }
 }
 
-impl<'a> Race<'a> {
-    /// Prepares a request for `services`; `least` of them must reply.
+impl Race {
+    /// Prepares a request of `route` for `services`.
     #[must_use]
     pub fn new(
-        gateway: &'a Arc<Gateway>,
+        gateway: Arc<Gateway>,
         view: Arc<View>,
         route: Arc<Route>,
         services: &[Name],
-        least: usize,
-        outgoing: Outgoing,
+        outgoing: Arc<Outgoing>,
         started: Instant,
     ) -> Self {
         let learned = view.learned.get(&route.name).cloned().unwrap_or_default();
@@ -106,13 +109,13 @@
             gateway,
             usual: usual.unwrap_or(hedge::first_guess(route.aim)),
             hedge_delay: hedge::delay(usual, route.aim),
-            limit: outgoing.deadline.saturating_duration_since(started),
             view,
             route,
             learned,
-            outgoing: Arc::new(outgoing),
+            outgoing,
             started,
-            least,
+            is_repeat: false,
+            held: started,
             telling: hedge::telling_replies(services.len()),
             done: 0,
             refused: 0,
@@ -123,6 +126,20 @@
         }
     }
 
+    /// Notes that another host may have asked leaves of the services before.
+    #[must_use]
+    pub fn repeated(mut self, is_repeat: bool) -> Self {
+        self.is_repeat = is_repeat;
+        self
+    }
+
+    /// Asks no second leaf of a service before `held`.
+    #[must_use]
+    pub fn held(mut self, held: Instant) -> Self {
+        self.held = held;
+        self
+    }
+
     /// Returns how many of the services have a leaf that can be asked.
     #[must_use]
     pub fn reachable(&self) -> usize {
@@ -130,54 +147,59 @@
         self.runs.iter().filter(has_leaf).count()
     }
 
-    /// Sends the request and waits until there is an answer or none to come.
-    pub async fn run(&mut self) -> Wait {
+    /// Sends the request to one leaf of each service.
+    pub fn begin(&mut self) {
         let now = Instant::now();
         for place in 0..self.runs.len() {
-            self.earn(place, now);
+            if !self.is_repeat {
+                self.earn(place, now);
+            }
             self.launch(place, Send::First, now);
         }
-        loop {
-            let now = Instant::now();
-            let until = match wait::decide(&self.progress(now)) {
-                Wait::Until(age) => self.started + age,
-                decided => {
-                    // What is under way ends by itself, so that its connections can be
-                    // used again.
-                    self.calls.handles.clear();
-                    return decided;
-                }
-            };
-            let wake = self.next_wake().map_or(until, |wake| wake.min(until));
-            match timeout_at(wake.into(), self.ended.recv()).await {
-                Ok(Some(ended)) => {
+    }
+
+    /// Sends on, and takes replies in, until some came or `until` has passed.
+    pub async fn advance(&mut self, until: Instant) {
+        let wake = self.next_wake().map_or(until, |wake| wake.min(until));
+        match timeout_at(wake.into(), self.ended.recv()).await {
+            Ok(Some(ended)) => {
+                self.note(ended);
+                while let Ok(ended) = self.ended.try_recv() {
                     self.note(ended);
-                    while let Ok(ended) = self.ended.try_recv() {
-                        self.note(ended);
-                    }
                 }
-                Ok(None) | Err(_) => self.wake(Instant::now()),
             }
+            Ok(None) | Err(_) => self.wake(Instant::now()),
         }
     }
 
-    /// Returns the id of the request, for logs.
+    /// Lets what is under way end by itself, so that its connections can be used again.
+    pub fn leave(&mut self) {
+        self.calls.handles.clear();
+    }
+
+    /// Returns the platform's header names.
     #[must_use]
-    pub fn id(&self) -> &str {
-        &self.outgoing.id
+    pub fn dialect(&self) -> &Dialect {
+        &self.gateway.dialect
+    }
+
+    /// Returns the replies so far.
+    #[must_use]
+    pub fn done(&self) -> usize {
+        self.done
     }
 
-    fn progress(&self, now: Instant) -> Progress {
+    /// Returns the services that can't reply any more.
+    #[must_use]
+    pub fn failed(&self) -> usize {
         let is_lost = |run: &&Run| matches!(run.state, State::Lost(..));
-        Progress {
-            total: self.runs.len(),
-            done: self.done,
-            failed: self.runs.iter().filter(is_lost).count(),
-            least: self.least,
-            age: now.saturating_duration_since(self.started),
-            aim: self.route.aim,
-            limit: self.limit,
-        }
+        self.runs.iter().filter(is_lost).count()
+    }
+
+    /// Returns the id of the request, for logs.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.outgoing.id
     }
 
     fn next_wake(&self) -> Option<Instant> {
@@ -196,7 +218,8 @@
             hedged: run.hedged,
         };
         let sent = hedge::is_wanted(sends).then_some(run.sent).flatten()?;
-        Some(run.denied_until.unwrap_or(sent + self.hedge_delay))
+        let due = run.denied_until.unwrap_or(sent + self.hedge_delay);
+        Some(due.max(self.held))
     }
 
     fn wake(&mut self, now: Instant) {
@@ -251,6 +274,10 @@
 
     /// Sends again after `failure`, if anything is left of the allowance.
     fn retry(&mut self, place: usize, failure: Failure, now: Instant) {
+        if now < self.held {
+            self.runs[place].again = Some((self.held, Again::Paid(failure)));
+            return;
+        }
         if self.spend(place, now) {
             self.launch(place, Send::Retry, now);
             return;
@@ -289,7 +316,7 @@
         self.calls.next += 1;
         self.runs[place].begin(number, leaf, now);
         let sender = self.sender.clone();
-        let gateway = Arc::clone(self.gateway);
+        let gateway = Arc::clone(&self.gateway);
         let task = tokio::spawn(async move {
             let outcome = call.run(&gateway.dialect).await;
             // Nobody may wait for it any more.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -5,10 +5,8 @@
         Gateway,
         answer::{self, Reply},
         call::Outgoing,
-        race::{
-            Race,
-            run::{Run, State},
-        },
+        gather::Gathering,
+        race::{Race, run::State},
         view::{View, lock},
     },
     crate::{
@@ -21,7 +19,6 @@
         },
         protocol::verdict::{Cause, Failure, Verdict},
         state::routes::{Destination, Part, Route, RouteTable, Shards},
-        transport::leaf::LeafReply,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -155,6 +152,7 @@
     leaf: Option<Name>,
     parts: usize,
     total: usize,
+    pieces: usize,
     left_out: String,
     reason: Option<Reason>,
 }
@@ -175,7 +173,7 @@
             .answered(&route.name, status, took, missing);
         info!(self.gateway.log, "serve: answered"; "request" => &*id, "route" => &*route.name,
             "version" => self.version, "known_ms" => millis(self.gateway.age()), "status" => status, "took_ms" => millis(took),
-            "leaf" => story.leaf.as_deref(), "parts" => story.parts, "of" => story.total,
+            "leaf" => story.leaf.as_deref(), "parts" => story.parts, "of" => story.total, "pieces" => story.pieces,
             "left_out" => story.left_out, "reason" => story.reason.map(Reason::name));
         reply
     }
@@ -183,11 +181,23 @@
     /// Sends a request to one leaf and passes its reply on.
     async fn relay(&self, parts: &[Part], outgoing: Outgoing) -> (Reply, Story) {
         let services: Vec<Name> = self.choose(parts).into_iter().collect();
-        let mut race = self.race(&services, 1, outgoing);
+        let limit = outgoing.deadline;
+        let mut race = Race::new(
+            Arc::clone(self.gateway),
+            Arc::clone(&self.view),
+            Arc::clone(&self.route),
+            &services,
+            Arc::new(outgoing),
+            self.started,
+        );
         if race.reachable() == 0 {
             return self.refused(Reason::NoLeaf);
         }
-        race.run().await;
+        race.begin();
+        while race.done() + race.failed() == 0 && Instant::now() < limit {
+            race.advance(limit).await;
+        }
+        race.leave();
         let Some(run) = race.runs.pop() else {
             return self.refused(Reason::NoLeaf);
         };
@@ -206,37 +216,39 @@
 
     /// Sends a request to one leaf of each shard and merges the replies.
     async fn gather(&self, shards: &Shards, outgoing: Outgoing) -> (Reply, Story) {
-        let least = shards.least_parts();
-        let mut race = self.race(&shards.services, least, outgoing);
-        if race.reachable() < least {
+        let mut gathering = Gathering::new(
+            self.gateway,
+            Arc::clone(&self.view),
+            Arc::clone(&self.route),
+            shards,
+            self.version,
+            outgoing,
+            self.started,
+        );
+        if gathering.reachable() < shards.least_parts() {
             return self.refused(Reason::TooFewShards);
         }
         let Some(admitted) = self.admit(shards) else {
             return self.refused(Reason::Overloaded);
         };
-        let wait = race.run().await;
-        admitted.end(race.refused, race.runs.len(), self.route.aim);
-        let mut parts: Vec<&LeafReply> = Vec::with_capacity(race.runs.len());
-        let mut left_out: Vec<&str> = Vec::new();
-        for run in &race.runs {
-            match &run.state {
-                State::Done(reply) => parts.push(reply),
-                State::Open | State::Lost(..) => left_out.push(run.last_leaf().unwrap_or("none")),
-            }
-        }
+        let wait = gathering.run().await;
+        let total = shards.services.len();
+        admitted.end(gathering.refused(), total, self.route.aim);
+        let left_out = gathering.lost.iter().map(|lost| &*lost.leaf);
         let story = Story {
             leaf: None,
-            parts: parts.len(),
-            total: race.runs.len(),
-            left_out: left_out.join(","),
+            parts: gathering.done(),
+            total,
+            pieces: gathering.pieces(),
+            left_out: left_out.collect::<Vec<_>>().join(","),
             reason: None,
         };
         if wait == Wait::Answer {
-            let total = shards.services.len();
-            let reply = answer::merged(&self.gateway.dialect, &parts, total, shards.records);
+            let dialect = &self.gateway.dialect;
+            let reply = answer::merged(dialect, &gathering.parts, total, shards.records);
             return (reply, story);
         }
-        self.failed(gathered_failure(&race.runs), story)
+        self.failed(gathering.failure(), story)
     }
 
     /// Takes the request on, unless the shards have too much to do.
@@ -252,18 +264,6 @@
         })
     }
 
-    fn race(&self, services: &[Name], least: usize, outgoing: Outgoing) -> Race<'_> {
-        Race::new(
-            self.gateway,
-            Arc::clone(&self.view),
-            Arc::clone(&self.route),
-            services,
-            least,
-            outgoing,
-            self.started,
-        )
-    }
-
     fn choose(&self, parts: &[Part]) -> Option<Name> {
         if let [part] = parts {
             return Some(part.service.clone());
@@ -319,23 +319,6 @@
     }
 }
 
-/// Returns why too few shards replied: what the worst of them may have done.
-fn gathered_failure(runs: &[Run]) -> Failure {
-    let lost = runs.iter().filter_map(|run| match run.state {
-        State::Lost(failure, _) => Some(failure),
-        State::Open if run.tries.runs > 0 => Some(Failure::may_have_run(Cause::Deadline)),
-        State::Open => Some(Failure::not_run(Cause::Unreachable)),
-        State::Done(_) => None,
-    });
-    let worst = lost.max_by_key(|failure| failure.verdict);
-    let worst = worst.unwrap_or(Failure::not_run(Cause::Unreachable));
-    let has_run = runs.iter().any(|run| run.tries.runs > 0);
-    if worst.verdict == Verdict::NotRun && has_run {
-        return Failure::may_have_run(worst.cause);
-    }
-    worst
-}
-
 fn timed_out() -> Reply {
     let why = "the time of the request ran out at the leaves";
     answer::plain(StatusCode::GATEWAY_TIMEOUT, why)
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -7,8 +7,8 @@
         clock::Millis,
         policy::follow::{self, Shunned, Source},
         transport::{
-            fleet::{self, Batch},
-            registry::{Freshness, Heard, Registry, RegistryError},
+            fleet::{self, Batch, Told},
+            registry::{Changes, Freshness, Heard, Registry, RegistryError},
         },
     },
     rand::seq::IndexedRandom,
@@ -53,6 +53,10 @@
 /// rates are shared by all hosts.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Entries that are read before requests get their turn: some hundred microseconds of work
+/// on a whole core.
+const DECODED_AT_ONCE: usize = 64;
+
 /// Follows the registry, or another host, until `stop`.
 pub struct Follower<R> {
     gateway: Arc<Gateway>,
@@ -136,7 +140,7 @@
         };
         self.gateway.metrics.called(heard.is_ok());
         let pause = match heard {
-            Ok(heard) => self.hear(heard),
+            Ok(heard) => self.hear(heard).await,
             Err(error) => self.fail(&error).await,
         };
         sleep(pause).await;
@@ -175,7 +179,7 @@
         }
     }
 
-    fn hear(&mut self, heard: Heard) -> Duration {
+    async fn hear(&mut self, heard: Heard) -> Duration {
         let now = Millis::now();
         self.gateway.note_heard(now);
         self.gateway.held.note_contact(now);
@@ -186,7 +190,7 @@
         let is_whole = self.revision.is_none();
         info!(self.gateway.log, "upkeep: heard"; "revision" => heard.revision,
             "before" => self.revision, "entries" => heard.entries.len());
-        let is_news = self.take(heard, is_whole);
+        let is_news = self.take(heard, is_whole).await;
         if is_news && !is_whole {
             self.gateway.settings.news_time.mul_f64(WATCH_PAUSE)
         } else {
@@ -203,13 +207,17 @@
     }
 
     /// Takes in entries; true when they changed what requests go by.
-    fn take(&mut self, heard: Heard, is_whole: bool) -> bool {
+    async fn take(&mut self, heard: Heard, is_whole: bool) -> bool {
+        let mut changes = Changes::default();
+        for entries in heard.entries.chunks(DECODED_AT_ONCE) {
+            changes.extend(self.registry.decode(entries));
+            tokio::task::yield_now().await;
+        }
         let now = Millis::now();
-        let changes = self.registry.decode(&heard.entries);
         let batch = self.revision.filter(|_| !is_whole).map(|before| Batch {
             before,
             revision: heard.revision,
-            entries: heard.entries.as_slice().into(),
+            entries: Arc::new(Told::new(heard.entries.clone())),
         });
         self.revision = Some(heard.revision);
         let gateway = &self.gateway;
@@ -259,14 +267,14 @@
             Ok(snapshot) if snapshot.revision > revision => {
                 info!(self.gateway.log, "upkeep: learned from another host"; "peer" => %peer,
                     "revision" => snapshot.revision, "before" => revision,
-                    "entries" => snapshot.entries.len());
+                    "entries" => snapshot.entries.get().len());
                 self.gateway.note_heard(Millis::now());
                 self.known.note_peers(&snapshot.peers);
                 let heard = Heard {
-                    entries: snapshot.entries,
+                    entries: snapshot.entries.get().to_vec(),
                     revision: snapshot.revision,
                 };
-                self.take(heard, true);
+                self.take(heard, true).await;
             }
             Ok(snapshot) => {
                 self.gateway.note_heard(Millis::now());
--- a/src/gateway/upkeep/following.rs
+++ b/src/gateway/upkeep/following.rs
@@ -49,11 +49,11 @@
                 let reason = format!("its registry answered {} ms ago", millis(age));
                 return self.shun(source, &reason);
             }
-            self.learn(update);
+            self.learn(update).await;
         }
     }
 
-    fn learn(&mut self, update: Update) {
+    async fn learn(&mut self, update: Update) {
         let now = Millis::now();
         let contact = Millis(now.0.saturating_sub(millis(update.standing.age)));
         self.gateway.note_heard(contact);
@@ -76,7 +76,7 @@
             entries: update.entries,
             revision: update.revision,
         };
-        self.take(heard, update.is_whole);
+        self.take(heard, update.is_whole).await;
     }
 
     fn shun(&mut self, source: SocketAddr, reason: &str) {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,6 +1,7 @@
 //! What a host knows at one moment, as one value that requests hold on to.
 
 use {
+    super::helpers::Helpers,
     crate::{
         collections::{Map, Name},
         policy::{admit::Admission, place::Candidate, split::Split},
@@ -45,6 +46,8 @@
     pub services: Map<Name, Arc<Service>>,
     /// What is learned of each route, by its name.
     pub learned: Map<Name, Arc<Learned>>,
+    /// Hosts that may ask leaves for this one.
+    pub helpers: Arc<Helpers>,
 }
 
 /// A service and its usable leaves.
--- a/src/policy/wait.rs
+++ b/src/policy/wait.rs
@@ -62,8 +62,7 @@
     if done + failed == total {
         return Wait::Answer;
     }
-    let cut = aim.saturating_sub(aim.mul_f64(WAY_BACK).max(LEAST_WAY_BACK));
-    let cut = cut.min(limit);
+    let cut = cut(aim).min(limit);
     match (done >= least, age >= limit) {
         (true, _) if age >= cut => Wait::Answer,
         (true, _) => Wait::Until(cut),
@@ -71,3 +70,9 @@
         (false, false) => Wait::Until(limit),
     }
 }
+
+/// Returns the age of a request at which it is answered with what is there.
+#[must_use]
+pub fn cut(aim: Duration) -> Duration {
+    aim.saturating_sub(aim.mul_f64(WAY_BACK).max(LEAST_WAY_BACK))
+}
--- a/src/state/allowance.rs
+++ b/src/state/allowance.rs
@@ -58,14 +58,19 @@
 
     /// Takes one send; false when there is none left.
     pub fn spend(&mut self, fleet: &FleetAllowance, hosts: usize, now: Instant) -> bool {
-        self.refill(fleet, hosts, now);
-        let is_left = self.tokens >= 1.0;
+        let is_left = self.has(fleet, hosts, now);
         if is_left {
             self.tokens -= 1.0;
         }
         is_left
     }
 
+    /// Returns whether a send is left.
+    pub fn has(&mut self, fleet: &FleetAllowance, hosts: usize, now: Instant) -> bool {
+        self.refill(fleet, hosts, now);
+        self.tokens >= 1.0
+    }
+
     /// A window may begin with everything saved and end with all that was earned in
     /// it, so half of the share is what can be saved and half what time brings.
     fn refill(&mut self, fleet: &FleetAllowance, hosts: usize, now: Instant) {
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -6,8 +6,8 @@
     crate::{
         clock::{Millis, millis},
         protocol::generated::{
-            ChangedEntry, FollowRequest, RegistryEntry, SnapshotReply, SnapshotRequest,
-            Update as WireUpdate,
+            ChangedEntry, FollowRequest, GatherRequest, GatheredParts, SnapshotReply,
+            SnapshotRequest, Update as WireUpdate,
             fleet_client::FleetClient,
             fleet_server::{Fleet, FleetServer},
         },
@@ -16,7 +16,7 @@
         StreamExt,
         stream::{self, BoxStream},
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::watch,
@@ -30,8 +30,16 @@
 };
 
 mod held;
+mod link;
+mod piece;
+mod told;
 
-pub use self::held::{Batch, FollowerGuard, Held, Missing, Snapshot, Standing};
+pub use self::{
+    held::{Batch, FollowerGuard, Held, Missing, Snapshot, Standing},
+    link::{Link, NotTaken},
+    piece::{Lost, Parts, Piece, Pieces},
+    told::{Ready, Told, unpack},
+};
 
 /// Time in which another host must answer: it stands in the same region.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
@@ -76,12 +84,8 @@
         let next = timeout(SILENCE_TIME, self.0.message()).await;
         let update = next.map_err(|Elapsed { .. }| Status::deadline_exceeded("silent"))??;
         let update = update.ok_or_else(|| Status::unavailable("the source ended"))?;
-        let entries = update.entries.into_iter().map(|entry| Entry {
-            key: entry.key.into(),
-            value: entry.value,
-        });
         Ok(Update {
-            entries: entries.collect(),
+            entries: read(update.entries, &update.packed)?,
             revision: update.revision,
             is_whole: update.whole,
             standing: Standing {
@@ -92,20 +96,32 @@
     }
 }
 
+/// What a host serves to others.
+struct Served<P> {
+    held: Held,
+    pieces: P,
+}
+
 #[tonic::async_trait]
-impl Fleet for Held {
+impl<P: Pieces> Fleet for Served<P> {
     type FollowStream = BoxStream<'static, Result<WireUpdate, Status>>;
+    type GatherStream = BoxStream<'static, Result<GatheredParts, Status>>;
 
     async fn snapshot(
         &self,
         request: Request<SnapshotRequest>,
     ) -> Result<Response<SnapshotReply>, Status> {
-        let held = self.get();
+        let held = self.held.get();
         let is_newer = held.revision > request.into_inner().revision;
-        let entries = held.entries.iter().filter(|_| is_newer);
+        let (entries, packed) = if is_newer {
+            held.entries.ready().clone().into_fields()
+        } else {
+            Default::default()
+        };
         Ok(Response::new(SnapshotReply {
             revision: held.revision,
-            entries: entries.filter_map(to_wire).collect(),
+            entries,
+            packed,
             peers: held.peers.iter().map(ToString::to_string).collect(),
         }))
     }
@@ -115,11 +131,11 @@
         request: Request<FollowRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
         let telling = Telling {
-            held: self.clone(),
-            changes: self.changes(),
+            held: self.held.clone(),
+            changes: self.held.changes(),
             revision: request.into_inner().revision,
             is_first: true,
-            _follower: self.count_follower(),
+            _follower: self.held.count_follower(),
         };
         let updates = stream::unfold(telling, async |mut telling| {
             let update = telling.next().await?;
@@ -127,6 +143,17 @@
         });
         Ok(Response::new(updates.boxed()))
     }
+
+    async fn gather(
+        &self,
+        request: Request<GatherRequest>,
+    ) -> Result<Response<Self::GatherStream>, Status> {
+        let piece = Piece::try_from(request.into_inner())?;
+        let parts = self.pieces.take(piece);
+        let parts = parts.map_err(Status::failed_precondition)?;
+        let parts = parts.map(|parts| Ok(GatheredParts::from(parts)));
+        Ok(Response::new(parts.boxed()))
+    }
 }
 
 /// One host that follows this one.
@@ -163,15 +190,17 @@
         };
         match missing {
             Missing::Nothing => {}
+            // The later ones are told next.
             Missing::Changes(batches) => {
-                update.revision = batches.last().map_or(self.revision, |last| last.revision);
-                let entries = batches.iter().flat_map(|batch| &*batch.entries);
-                update.entries = entries.map(to_changed).collect();
+                if let Some(batch) = batches.first() {
+                    update.revision = batch.revision;
+                    (update.entries, update.packed) = batch.entries.ready().clone().into_fields();
+                }
             }
             Missing::All(snapshot) => {
                 update.revision = snapshot.revision;
                 update.whole = true;
-                update.entries = snapshot.entries.iter().map(to_changed).collect();
+                (update.entries, update.packed) = snapshot.entries.ready().clone().into_fields();
             }
         }
         self.revision = update.revision;
@@ -179,21 +208,20 @@
     }
 }
 
-fn to_changed(entry: &Entry) -> ChangedEntry {
-    ChangedEntry {
-        key: entry.key.to_string(),
-        value: entry.value.clone(),
-    }
-}
-
-fn to_wire(entry: &Entry) -> Option<RegistryEntry> {
-    Some(RegistryEntry {
-        key: entry.key.to_string(),
-        value: entry.value.clone()?,
-    })
+fn read(plain: Vec<ChangedEntry>, packed: &[u8]) -> Result<Vec<Entry>, Status> {
+    let entries = if packed.is_empty() {
+        plain
+    } else {
+        unpack(packed).map_err(|error| Status::internal(error.to_string()))?
+    };
+    let entries = entries.into_iter().map(|entry| Entry {
+        key: entry.key.into(),
+        value: entry.value,
+    });
+    Ok(entries.collect())
 }
 
-/// Serves `held` to other hosts until `stop`.
+/// Serves `held`, and asks leaves, for other hosts until `stop`.
 ///
 /// # Errors
 ///
@@ -201,14 +229,17 @@
 pub async fn serve(
     listener: TcpListener,
     held: Held,
+    pieces: impl Pieces,
     stop: CancellationToken,
 ) -> Result<(), tonic::transport::Error> {
-    let service = FleetServer::new(held).max_encoding_message_size(SNAPSHOT_LIMIT);
+    let service = FleetServer::new(Served { held, pieces });
+    let service = service.max_encoding_message_size(SNAPSHOT_LIMIT);
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     Server::builder()
         .http2_keepalive_interval(Some(FOLLOWER_PROBE))
         .http2_keepalive_timeout(Some(FOLLOWER_PROBE))
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpIncoming::from(listener), stop.cancelled_owned())
+        .serve_with_incoming_shutdown(incoming, stop.cancelled_owned())
         .await
 }
 
@@ -221,13 +252,9 @@
     let mut client = client(endpoint(address)?.timeout(ANSWER_TIME)).await?;
     let reply = client.snapshot(SnapshotRequest { revision }).await?;
     let reply = reply.into_inner();
-    let entries = reply.entries.into_iter().map(|entry| Entry {
-        key: entry.key.into(),
-        value: Some(entry.value),
-    });
     Ok(Snapshot {
         revision: reply.revision,
-        entries: entries.collect(),
+        entries: Arc::new(Told::new(read(reply.entries, &reply.packed)?)),
         peers: reply
             .peers
             .iter()
--- a/src/transport/fleet/held.rs
+++ b/src/transport/fleet/held.rs
@@ -1,7 +1,7 @@
 //! What a host has of the registry's word, for hosts that learn from it.
 
 use {
-    super::super::registry::Entry,
+    super::told::Told,
     crate::clock::Millis,
     std::{
         collections::VecDeque,
@@ -25,7 +25,7 @@
     /// Revision up to which it goes; 0 before anything was heard.
     pub revision: u64,
     /// All entries that matter.
-    pub entries: Vec<Entry>,
+    pub entries: Arc<Told>,
     /// Other entry hosts.
     pub peers: Vec<SocketAddr>,
 }
@@ -38,7 +38,7 @@
     /// Revision up to which they go.
     pub revision: u64,
     /// The entries, in the order of their changes.
-    pub entries: Arc<[Entry]>,
+    pub entries: Arc<Told>,
 }
 
 /// What a host that follows needs next.
@@ -203,12 +203,12 @@
             self.recent.clear();
             self.kept = 0;
         }
-        self.kept += batch.entries.len();
+        self.kept += batch.entries.get().len();
         self.recent.push_back(batch);
         while self.kept > RECENT_ENTRIES
             && let Some(oldest) = self.recent.pop_front()
         {
-            self.kept -= oldest.entries.len();
+            self.kept -= oldest.entries.get().len();
         }
     }
 }
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -41,6 +41,15 @@
     pub unreadable: Vec<String>,
 }
 
+impl Changes {
+    /// Adds changes that came after these.
+    pub fn extend(&mut self, later: Self) {
+        self.routes = later.routes.or(self.routes.take());
+        self.news.extend(later.news);
+        self.unreadable.extend(later.unreadable);
+    }
+}
+
 /// How old a reading may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -6,11 +6,15 @@
         policy::follow::{Shunned, Source, choose, is_behind},
         state::roster::{Leaf, Member, News, Phase, RETURN_TIME, Roster},
         transport::{
-            fleet::{self, Batch, Held, Missing, Snapshot},
+            fleet::{
+                self, Batch, Held, Missing, Parts, Piece, Pieces, Ready, Snapshot, Told, unpack,
+            },
             registry::Entry,
         },
     },
-    std::time::Duration,
+    bytes::Bytes,
+    futures_util::stream::BoxStream,
+    std::{sync::Arc, time::Duration},
     tokio::net::TcpListener,
     tokio_util::sync::CancellationToken,
 };
@@ -170,7 +174,7 @@
 fn snapshot(revision: u64) -> Snapshot {
     Snapshot {
         revision,
-        entries: vec![entry("a", Some("all"))],
+        entries: Arc::new(Told::new(vec![entry("a", Some("all"))])),
         peers: Vec::new(),
     }
 }
@@ -179,7 +183,7 @@
     Batch {
         before,
         revision,
-        entries: [entry(&revision.to_string(), None)].into(),
+        entries: Arc::new(Told::new(vec![entry(&revision.to_string(), None)])),
     }
 }
 
@@ -187,7 +191,7 @@
     match missing {
         Missing::Changes(batches) => batches
             .iter()
-            .flat_map(|batch| &*batch.entries)
+            .flat_map(|batch| batch.entries.get())
             .map(|entry| entry.key.to_string())
             .collect(),
         Missing::Nothing => Vec::new(),
@@ -258,6 +262,67 @@
     assert_eq!(roster.usable().count(), 0);
 }
 
+/// A host that asks no leaves for others.
+struct Idle;
+
+impl Pieces for Idle {
+    fn take(&self, _: Piece) -> Result<BoxStream<'static, Parts>, &'static str> {
+        Err("idle")
+    }
+}
+
+/// Entries as leaves of a large fleet have them.
+fn many_entries(count: usize) -> Vec<Entry> {
+    let entries = (0..count).map(|number| {
+        let value = format!(
+            "{{\"service\":\"shard-{number}\",\"address\":\"10.1.64.{}:8189\",\"zone\":\"north\",\
+             \"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"sequence\":1}}",
+            number % 250
+        );
+        Entry {
+            key: format!("servers/i-{number:08x}").into(),
+            value: Some(value.into()),
+        }
+    });
+    entries.collect()
+}
+
+#[test]
+fn many_entries_are_told_in_a_fifth_of_their_bytes_and_read_as_they_were() {
+    let entries = many_entries(810);
+    let plain: usize = entries
+        .iter()
+        .map(|entry| entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len))
+        .sum();
+    let told = Told::new(entries.clone());
+    let Ready::Packed(packed) = told.ready() else {
+        panic!("so many are packed");
+    };
+    assert!(
+        packed.len() * 5 < plain,
+        "{} of {plain} bytes",
+        packed.len()
+    );
+    let read = unpack(packed).expect("they can be read");
+    let read: Vec<Entry> = read
+        .into_iter()
+        .map(|entry| Entry {
+            key: entry.key.into(),
+            value: entry.value,
+        })
+        .collect();
+    assert_eq!(read, entries);
+}
+
+#[test]
+fn packed_bytes_that_would_fill_the_memory_are_refused() {
+    let zeros = vec![0; 64 << 20];
+    let packed = zstd::bulk::compress(&zeros, 1).expect("it is compressed");
+    assert!(packed.len() < 100_000, "a small message");
+    assert!(unpack(&packed).is_err());
+    assert!(unpack(b"no frame").is_err());
+}
+
 #[tokio::test]
 async fn a_followed_host_tells_what_is_new_how_old_and_how_doubtful_it_is() {
     // Arrange
@@ -268,7 +333,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let stop = CancellationToken::new();
-    tokio::spawn(fleet::serve(listener, held.clone(), stop.clone()));
+    tokio::spawn(fleet::serve(listener, held.clone(), Idle, stop.clone()));
 
     // Act
     let mut updates = fleet::follow(address, 0).await.expect("it answers");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod configuration;
 mod cuts;
+mod divide;
 mod faults;
 mod fixtures;
 mod follow;
