A starting host learns from a seed; hosts ask a store that is away ever less often

While the store refuses everything for 6 s all 295 hosts leave their sources, which it does not answer either, and ask it four times a second each.

Change: a host whose source is behind asks the store once, at the least price, and stays with its source when it gets no answer; pauses between calls that fail grow from 0.25 to 2 s for hosts that know the routes, and for those that have no lease. A host that starts learns everything from one of the settings' seeds, if that heard from the store within 2.5 s; one that tells 32 hosts a second names these to the next.

--- a/src/gateway/enlist.rs
+++ b/src/gateway/enlist.rs
@@ -4,6 +4,7 @@
     super::{Gateway, upkeep::RETRY_PAUSE},
     crate::{
         clock::Millis,
+        policy::follow,
         state::roster::Member,
         transport::registry::{LeaseId, Registry, RegistryError},
     },
@@ -38,14 +39,14 @@
         processor: settings.processor,
     };
     let mut lease: Option<LeaseId> = None;
-    let mut is_failing = false;
+    let mut failures = 0;
     while !stop.is_cancelled() {
         let asked = Millis::now();
         let pause = match renew(&*registry, &member, lease).await {
             Ok(held) => {
                 lease = Some(held);
                 gateway.held.note_contact(asked);
-                if std::mem::take(&mut is_failing) {
+                if std::mem::take(&mut failures) > 0 {
                     gateway.doubted.notify_one();
                 }
                 renew_time(&gateway)
@@ -56,11 +57,12 @@
                 RETRY_PAUSE
             }
             Err(error) => {
-                if !std::mem::replace(&mut is_failing, true) {
+                failures += 1;
+                if failures == 1 {
                     gateway.doubted.notify_one();
                     warn!(gateway.log, "upkeep: this host's entry can't be kept"; "error" => %error);
                 }
-                RETRY_PAUSE * 2
+                follow::retry_pause(failures) * 2
             }
         };
         tokio::select! {
--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -17,7 +17,7 @@
             routes::RouteTable,
         },
         transport::{
-            fleet::{Snapshot, Told},
+            fleet::{Snapshot, Standing, Told},
             registry::{Changes, Entry, Heard},
         },
     },
@@ -112,6 +112,7 @@
             revision: self.revision,
             entries: Arc::new(Told::new(entries.collect())),
             peers: self.roster.members().map(|member| member.address).collect(),
+            standing: Standing::default(),
         }
     }
 
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -4,10 +4,10 @@
 use {
     super::{Gateway, known::Known},
     crate::{
-        clock::Millis,
+        clock::{Millis, millis},
         policy::follow::{self, Shunned, Source},
         transport::{
-            fleet::{self, Batch, Told},
+            fleet::{self, Batch, Standing, Told, Update},
             registry::{Changes, Freshness, Heard, Registry, RegistryError},
         },
     },
@@ -66,8 +66,12 @@
     revision: Option<u64>,
     freshness: Freshness,
     contact: Contact,
-    /// Calls that failed before any routes were known.
-    start_failures: u32,
+    /// Calls in a row that the registry did not answer.
+    failures: u32,
+    /// When a host that follows another may ask the registry again.
+    asked_again: Millis,
+    /// Whether other hosts may still be asked for everything.
+    is_new: bool,
     shunned: Shunned,
 }
 
@@ -94,7 +98,9 @@
             revision: None,
             freshness: Freshness::Behind,
             contact: Contact::Answers,
-            start_failures: 0,
+            failures: 0,
+            asked_again: Millis::default(),
+            is_new: true,
             shunned: Shunned::default(),
         }
     }
@@ -103,6 +109,7 @@
     pub async fn run(mut self, stop: CancellationToken) {
         while !stop.is_cancelled() {
             match self.source() {
+                Source::Registry if std::mem::take(&mut self.is_new) => self.begin(&stop).await,
                 Source::Registry => self.step(&stop).await,
                 Source::Host(address) => self.follow(address, &stop).await,
             }
@@ -127,6 +134,37 @@
         source
     }
 
+    /// Learns everything from another host, if one of the seeds is at hand: so many hosts may
+    /// start at once that the registry's link is full of what all of them read.
+    async fn begin(&mut self, stop: &CancellationToken) {
+        let seeds = &self.gateway.reloaded().seeds;
+        let own = self.gateway.settings.peer_address;
+        if own.is_some_and(|own| seeds.contains(&own)) {
+            return;
+        }
+        let learned = tokio::select! {
+            () = stop.cancelled() => return,
+            learned = fleet::learn(seeds, own) => learned,
+        };
+        let Some((source, snapshot)) = learned else {
+            info!(self.gateway.log, "upkeep: no other host tells everything"; "seeds" => seeds.len());
+            return;
+        };
+        let Standing { age, doubt } = snapshot.standing;
+        info!(self.gateway.log, "upkeep: learned from another host"; "peer" => %source,
+            "revision" => snapshot.revision, "before" => self.revision,
+            "entries" => snapshot.entries.get().len(), "age_ms" => millis(age));
+        if follow::is_fresh(age) {
+            self.learn(Update {
+                entries: snapshot.entries.get().to_vec(),
+                revision: snapshot.revision,
+                is_whole: true,
+                standing: Standing { age, doubt },
+            })
+            .await;
+        }
+    }
+
     /// Asks the registry once.
     async fn step(&mut self, stop: &CancellationToken) {
         let due = self.known.roster.next_due();
@@ -168,7 +206,7 @@
     }
 
     fn is_starting(&self) -> bool {
-        !self.known.has_routes() && self.start_failures < START_ATTEMPTS
+        !self.known.has_routes() && self.failures < START_ATTEMPTS
     }
 
     fn patience(&self) -> Duration {
@@ -181,6 +219,7 @@
 
     async fn hear(&mut self, heard: Heard) -> Duration {
         let now = Millis::now();
+        self.failures = 0;
         self.gateway.note_heard(now);
         self.gateway.held.note_contact(now);
         self.known.close_old(Instant::now());
@@ -247,10 +286,12 @@
             warn!(self.gateway.log, "upkeep: the registry can't be read"; "error" => %error,
                 "revision" => self.revision);
         }
+        self.failures += 1;
         self.ask_peer().await;
         if self.is_starting() {
-            self.start_failures += 1;
             START_PAUSE
+        } else if self.known.has_routes() {
+            follow::retry_pause(self.failures)
         } else {
             RETRY_PAUSE
         }
@@ -263,7 +304,8 @@
             return;
         };
         let revision = self.known.revision();
-        match fleet::ask(*peer, revision).await {
+        let own = self.gateway.settings.peer_address;
+        match fleet::ask(*peer, revision, Duration::ZERO, own).await {
             Ok(snapshot) if snapshot.revision > revision => {
                 info!(self.gateway.log, "upkeep: learned from another host"; "peer" => %peer,
                     "revision" => snapshot.revision, "before" => revision,
--- a/src/gateway/upkeep/following.rs
+++ b/src/gateway/upkeep/following.rs
@@ -45,15 +45,34 @@
                 Err(reason) => return self.shun(source, &reason),
             };
             let age = update.standing.age;
-            if follow::is_behind(age, Millis::now().since(begun)) {
+            let is_behind = follow::is_behind(age, Millis::now().since(begun));
+            self.learn(update).await;
+            // The registry may be away for everybody: then another source is no better.
+            if is_behind && self.is_answered().await {
                 let reason = format!("its registry answered {} ms ago", millis(age));
                 return self.shun(source, &reason);
             }
-            self.learn(update).await;
         }
     }
 
-    async fn learn(&mut self, update: Update) {
+    /// Returns whether the registry answers this host, as far as it was asked lately.
+    async fn is_answered(&mut self) -> bool {
+        let now = Millis::now();
+        if now < self.asked_again {
+            return false;
+        }
+        let is_answered = self.registry.probe().await.is_ok();
+        self.gateway.metrics.called(is_answered);
+        if is_answered {
+            self.failures = 0;
+        } else {
+            self.failures += 1;
+            self.asked_again = Millis::now().plus(follow::retry_pause(self.failures));
+        }
+        is_answered
+    }
+
+    pub(super) async fn learn(&mut self, update: Update) {
         let now = Millis::now();
         let contact = Millis(now.0.saturating_sub(millis(update.standing.age)));
         self.gateway.note_heard(contact);
--- a/src/policy/follow.rs
+++ b/src/policy/follow.rs
@@ -3,7 +3,9 @@
 //! Load it answers: a large fleet, in which each host's own watch would be answered for
 //! each change, so that calls to the registry grow with the product of hosts and changes.
 //! In each failure domain some hosts follow the registry, and the others follow them. A
-//! host whose sources fall silent or behind goes back to the registry at once.
+//! host whose source falls silent, or falls behind while the registry answers others, goes
+//! back to the registry at once. While it answers nobody, hosts that know the routes ask it
+//! ever less often, and those that follow others leave that to these.
 
 use {
     crate::{
@@ -39,6 +41,19 @@
 /// asks at once, and the answer takes some milliseconds, some hundred when it is slow.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
 
+/// Age of another host's word from the registry up to which a starting host begins with it
+/// and need not read everything itself. A host that nobody follows hears from the registry
+/// each two seconds.
+const FRESH_TIME: Duration = Duration::from_millis(2_500);
+
+/// Pause after the first call that the registry did not answer; doubled after each further
+/// one in a row. The registry answers in some milliseconds, and all hosts share its rates.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Doublings of [`FIRST_PAUSE`] at most: what the registry tells must be in force some
+/// seconds after its return.
+const PAUSE_DOUBLINGS: u32 = 3;
+
 /// Where a host learns what the registry tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -101,6 +116,18 @@
     age > STALE_TIME && followed > SETTLE_TIME
 }
 
+/// Returns whether a starting host may begin with another host's word that is `age` old.
+#[must_use]
+pub fn is_fresh(age: Duration) -> bool {
+    age <= FRESH_TIME
+}
+
+/// Returns how long to wait after `failures` calls in a row that the registry did not answer.
+#[must_use]
+pub fn retry_pause(failures: u32) -> Duration {
+    FIRST_PAUSE * 2_u32.pow(failures.saturating_sub(1).min(PAUSE_DOUBLINGS))
+}
+
 fn hash(id: &Name, seed: u64) -> u64 {
     xxh3_64_with_seed(id.as_bytes(), seed)
 }
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -16,11 +16,12 @@
         StreamExt,
         stream::{self, BoxStream},
     },
+    rand::seq::IndexedRandom,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::watch,
-        time::{error::Elapsed, timeout},
+        time::{error::Elapsed, sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
     tonic::{
@@ -44,6 +45,16 @@
 /// Time in which another host must answer: it stands in the same region.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 
+/// Time in which a starting host looks for another that tells it everything; the registry is
+/// asked after that.
+const LEARN_TIME: Duration = Duration::from_millis(600);
+
+/// Time for which a host that has just started itself is waited for.
+const LEARN_WAIT: Duration = Duration::from_millis(300);
+
+/// Pause after a host that could not be asked.
+const LEARN_PAUSE: Duration = Duration::from_millis(30);
+
 /// Largest snapshot, bytes: thousands of leaves with some hundred bytes each.
 const SNAPSHOT_LIMIT: usize = 32 << 20;
 
@@ -111,19 +122,29 @@
         &self,
         request: Request<SnapshotRequest>,
     ) -> Result<Response<SnapshotReply>, Status> {
-        let held = self.held.get();
-        let is_newer = held.revision > request.into_inner().revision;
-        let (entries, packed) = if is_newer {
-            held.entries.ready().clone().into_fields()
-        } else {
-            Default::default()
-        };
-        Ok(Response::new(SnapshotReply {
+        let request = request.into_inner();
+        let wait = Duration::from_millis(request.wait_ms).min(ANSWER_TIME);
+        let held = self.held.when_newer(request.revision, wait).await;
+        let standing = self.held.standing(Millis::now());
+        let mut reply = SnapshotReply {
             revision: held.revision,
-            entries,
-            packed,
             peers: held.peers.iter().map(ToString::to_string).collect(),
-        }))
+            age_ms: millis(standing.age),
+            doubt_ms: millis(standing.doubt),
+            ..SnapshotReply::default()
+        };
+        if held.revision > request.revision {
+            match self.held.admit(request.address.parse().ok(), Millis::now()) {
+                Ok(()) => {
+                    (reply.entries, reply.packed) = held.entries.ready().clone().into_fields();
+                }
+                Err(others) => {
+                    reply.revision = 0;
+                    reply.peers = others.iter().map(ToString::to_string).collect();
+                }
+            }
+        }
+        Ok(Response::new(reply))
     }
 
     async fn follow(
@@ -243,15 +264,25 @@
         .await
 }
 
-/// Asks the host at `address` for what it knows beyond `revision`.
+/// Asks the host at `address` for what it knows beyond `revision`, for the host that answers
+/// at `own`.
 ///
 /// # Errors
 ///
 /// Fails when the host does not answer in time.
-pub async fn ask(address: SocketAddr, revision: u64) -> Result<Snapshot, Status> {
+pub async fn ask(
+    address: SocketAddr,
+    revision: u64,
+    wait: Duration,
+    own: Option<SocketAddr>,
+) -> Result<Snapshot, Status> {
     let mut client = client(endpoint(address)?.timeout(ANSWER_TIME)).await?;
-    let reply = client.snapshot(SnapshotRequest { revision }).await?;
-    let reply = reply.into_inner();
+    let request = SnapshotRequest {
+        revision,
+        wait_ms: millis(wait),
+        address: own.map(|own| own.to_string()).unwrap_or_default(),
+    };
+    let reply = client.snapshot(request).await?.into_inner();
     Ok(Snapshot {
         revision: reply.revision,
         entries: Arc::new(Told::new(read(reply.entries, &reply.packed)?)),
@@ -260,9 +291,43 @@
             .iter()
             .filter_map(|peer| peer.parse().ok())
             .collect(),
+        standing: Standing {
+            age: Duration::from_millis(reply.age_ms),
+            doubt: Duration::from_millis(reply.doubt_ms),
+        },
     })
 }
 
+/// Learns everything from one of `seeds`, or of the hosts that they name instead, for the
+/// host that answers at `own`; `None` when none of them tells it in time.
+pub async fn learn(
+    seeds: &[SocketAddr],
+    own: Option<SocketAddr>,
+) -> Option<(SocketAddr, Snapshot)> {
+    let learning = async {
+        let mut named: Vec<SocketAddr> = Vec::new();
+        loop {
+            let address = match named.choose(&mut rand::rng()) {
+                Some(named) => *named,
+                None => *seeds.choose(&mut rand::rng())?,
+            };
+            match ask(address, 0, LEARN_WAIT, own).await {
+                Ok(snapshot) if snapshot.revision > 0 => return Some((address, snapshot)),
+                Ok(snapshot) => {
+                    named = snapshot.peers;
+                    named.retain(|named| Some(*named) != own);
+                }
+                // It may be starting as well.
+                Err(_) => {
+                    named.clear();
+                    sleep(LEARN_PAUSE).await;
+                }
+            }
+        }
+    };
+    timeout(LEARN_TIME, learning).await.ok().flatten()
+}
+
 /// Follows the host at `address`, which tells what it knows beyond `revision`.
 ///
 /// # Errors
--- a/src/transport/fleet/held.rs
+++ b/src/transport/fleet/held.rs
@@ -12,13 +12,23 @@
         },
         time::Duration,
     },
-    tokio::sync::{Notify, watch},
+    tokio::{
+        sync::{Notify, watch},
+        time::timeout,
+    },
 };
 
 /// Changed entries that are kept for hosts that follow: what a reshard of some hundred
 /// shards makes in the seconds between two updates. Who is further behind gets everything.
 const RECENT_ENTRIES: usize = 4_096;
 
+/// Hosts that are told everything within [`TELLING_TIME`]: a thousand leaves pack into some
+/// 30 KB, and the slowest links carry 5 MB a second.
+const TOLD_AT_ONCE: usize = 32;
+
+/// Time in which a host that was told everything counts as being told.
+const TELLING_TIME: Duration = Duration::from_secs(1);
+
 /// What the registry told, up to a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -28,6 +38,8 @@
     pub entries: Arc<Told>,
     /// Other entry hosts.
     pub peers: Vec<SocketAddr>,
+    /// How far it can be believed, as of when it was told.
+    pub standing: Standing,
 }
 
 /// Entries that changed between two revisions.
@@ -81,6 +93,8 @@
     contact: Millis,
     doubt_until: Millis,
     is_stopping: bool,
+    /// Hosts that were told everything lately.
+    told: VecDeque<(Millis, Option<SocketAddr>)>,
 }
 
 impl Held {
@@ -107,6 +121,22 @@
         Arc::clone(&self.lock().snapshot)
     }
 
+    /// Returns whether a host that answers at `address` may be told everything now; the hosts
+    /// that were told lately when it is to ask one of these.
+    ///
+    /// # Errors
+    ///
+    /// Returns these hosts.
+    pub fn admit(&self, address: Option<SocketAddr>, now: Millis) -> Result<(), Vec<SocketAddr>> {
+        let mut inner = self.lock();
+        inner.told.retain(|(at, _)| now.since(*at) < TELLING_TIME);
+        if inner.told.len() >= TOLD_AT_ONCE {
+            return Err(inner.told.iter().filter_map(|(_, told)| *told).collect());
+        }
+        inner.told.push_back((now, address));
+        Ok(())
+    }
+
     /// Notes that the registry answered at `at`, here or at the source.
     pub fn note_contact(&self, at: Millis) {
         let mut inner = self.lock();
@@ -140,6 +170,21 @@
         }
     }
 
+    /// Returns the snapshot once it goes beyond `revision`, at the latest after `wait`.
+    pub async fn when_newer(&self, revision: u64, wait: Duration) -> Arc<Snapshot> {
+        let mut changes = self.changes();
+        let newer = async {
+            while self.get().revision <= revision {
+                if changes.changed().await.is_err() {
+                    break;
+                }
+            }
+        };
+        // What there is after the wait is told.
+        let _ = timeout(wait, newer).await;
+        self.get()
+    }
+
     /// Returns what a host that has everything up to `revision` misses.
     #[must_use]
     pub fn since(&self, revision: u64) -> Missing {
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -111,6 +111,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Heard, RegistryError>> + Send;
 
+    /// Asks, at the least cost, whether the registry answers.
+    fn probe(&self) -> impl Future<Output = Result<(), RegistryError>> + Send;
+
     /// Writes this host's entry under a new lease of `length`.
     fn enlist(
         &self,
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -7,7 +7,8 @@
         state::roster::{Leaf, Member, News, Phase, RETURN_TIME, Roster},
         transport::{
             fleet::{
-                self, Batch, Held, Missing, Parts, Piece, Pieces, Ready, Snapshot, Told, unpack,
+                self, Batch, Held, Missing, Parts, Piece, Pieces, Ready, Snapshot, Standing, Told,
+                unpack,
             },
             registry::Entry,
         },
@@ -176,6 +177,7 @@
         revision,
         entries: Arc::new(Told::new(vec![entry("a", Some("all"))])),
         peers: Vec::new(),
+        standing: Standing::default(),
     }
 }
 
