A host that starts again keeps its lease; what is usual is learned by requests, not replies

False alarms: while the store takes 370 ms an answer, 274 times a host left a source that it had not answered for 1.2 s.

Change: the entry names its lease, an entry outlives a stop, and a host that starts again renews the lease of before. A host that knows nothing asks seeds again before each reading of the store. A source is left when the store answers this host quicker than it answered the source.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,23 +1,21 @@
 //! One send of a request to one leaf.
 
 use {
-    super::view::{LeafHandle, Learned, Ticket},
+    super::view::{LeafHandle, Ticket},
     crate::{
         collections::Name,
         protocol::{
             dialect::Dialect,
             verdict::{Cause, Failure, Verdict},
         },
+        state::pace::Usual,
         transport::leaf::{Connection, LeafReply, Slot},
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{HeaderMap, Method, Request, StatusCode, Uri, header::HeaderValue},
     slog::{Logger, info},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Instant},
     tokio::time::timeout_at,
 };
 
@@ -62,12 +60,10 @@
     pub log: Logger,
     /// The leaf.
     pub leaf: Arc<LeafHandle>,
-    /// What is learned of the route.
-    pub learned: Arc<Learned>,
     /// The request.
     pub outgoing: Arc<Outgoing>,
     /// Usual time of a reply.
-    pub usual: Duration,
+    pub usual: Arc<Usual>,
     /// Connections that this host may have to the leaf.
     pub connections: usize,
 }
@@ -75,7 +71,7 @@
 impl Call {
     /// Sends the request and returns how that ended.
     pub async fn run(self, dialect: &Dialect) -> Outcome {
-        let ticket = self.leaf.begin(self.usual, Instant::now());
+        let ticket = self.leaf.begin(self.usual.get(), Instant::now());
         let deadline = self.outgoing.deadline.into();
         let outcome = match timeout_at(deadline, self.exchange(dialect)).await {
             Ok(outcome) => outcome,
@@ -163,9 +159,7 @@
         match outcome {
             Outcome::Replied(reply) if reply.status.is_server_error() => ticket.failed(now),
             Outcome::Replied(reply) => {
-                let took = ticket.age(now);
-                self.learned.note(took);
-                ticket.replied(self.usual, dialect.load(&reply.headers), now);
+                ticket.replied(self.usual.get(), dialect.load(&reply.headers), now);
             }
             Outcome::Failed(failed) => match failed.failure.cause {
                 Cause::Shed => ticket.refused(now),
--- a/src/gateway/enlist.rs
+++ b/src/gateway/enlist.rs
@@ -1,7 +1,7 @@
 //! Keeps this host's entry in the registry.
 
 use {
-    super::{Gateway, upkeep::RETRY_PAUSE},
+    super::Gateway,
     crate::{
         clock::Millis,
         policy::follow,
@@ -10,7 +10,10 @@
     },
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
     tokio_util::sync::CancellationToken,
 };
 
@@ -29,16 +32,30 @@
 /// Time between renewals of a host that follows another: they keep its entry, no more.
 const FOLLOWING_RENEW_TIME: Duration = Duration::from_secs(6);
 
-/// Keeps this host's entry in the registry until `stop`, then takes it out.
-pub async fn enlist<R: Registry>(gateway: Arc<Gateway>, registry: Arc<R>, stop: CancellationToken) {
+/// Time in which a starting host learns whether its entry of before is still there.
+const LEARN_TIME: Duration = Duration::from_secs(1);
+
+/// Keeps this host's entry in the registry until `stop`. `before` tells the lease that an
+/// earlier process of this host had, once that is known.
+///
+/// The entry outlives a stop until its lease ends: most hosts are back before, and then keep
+/// the lease with one call. Others notice at the first piece that a host has ended.
+pub async fn enlist<R: Registry>(
+    gateway: Arc<Gateway>,
+    registry: Arc<R>,
+    before: oneshot::Receiver<LeaseId>,
+    stop: CancellationToken,
+) {
     let settings = &gateway.settings;
     let member = Member {
         id: settings.id.clone(),
         address: settings.peer_address.unwrap_or(settings.caller_address),
         domain: settings.domain.clone(),
         processor: settings.processor,
+        lease: 0,
     };
-    let mut lease: Option<LeaseId> = None;
+    let before = timeout(LEARN_TIME, before).await;
+    let mut lease: Option<LeaseId> = before.ok().and_then(Result::ok);
     let mut failures = 0;
     while !stop.is_cancelled() {
         let asked = Millis::now();
@@ -54,7 +71,7 @@
             Err(RegistryError::LeaseGone) => {
                 info!(gateway.log, "upkeep: this host's lease has ended");
                 lease = None;
-                RETRY_PAUSE
+                Duration::ZERO
             }
             Err(error) => {
                 failures += 1;
@@ -73,11 +90,6 @@
             () = sleep(pause) => {}
         }
     }
-    if let Some(lease) = lease
-        && let Err(error) = registry.leave(lease).await
-    {
-        info!(gateway.log, "upkeep: this host's entry stays until its lease ends"; "error" => %error);
-    }
 }
 
 async fn renew<R: Registry>(
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -12,6 +12,7 @@
     std::{net::SocketAddr, sync::Arc},
     tokio::{
         net::{TcpListener, TcpSocket},
+        sync::oneshot,
         task::JoinHandle,
         time::{Instant, sleep_until, timeout_at},
     },
@@ -78,11 +79,13 @@
         if let Some(peers) = peers {
             tokio::spawn(serve_peers(peers, Arc::clone(&gateway), ended.clone()));
         }
-        let follower = Follower::new(Arc::clone(&gateway), Arc::clone(&registry));
+        let (before, told) = oneshot::channel();
+        let follower = Follower::new(Arc::clone(&gateway), Arc::clone(&registry), before);
         tokio::spawn(follower.run(ended.clone()));
         let enlisted = tokio::spawn(enlist::enlist(
             Arc::clone(&gateway),
             registry,
+            told,
             closing.clone(),
         ));
         let callers = tokio::spawn(listener::callers(
@@ -120,10 +123,10 @@
         sleep_until(part(SERVE_PART)).await;
         self.closing.cancel();
         let callers = timeout_at(part(END_PART), &mut self.callers).await;
-        let enlisted = timeout_at(part(END_PART), &mut self.enlisted).await;
+        self.enlisted.abort();
         self.ended.cancel();
         info!(self.gateway.log, "host: stopped"; "all_answered" => callers.is_ok(),
-            "left_registry" => enlisted.is_ok(), "took_ms" => millis(begun.elapsed()));
+            "took_ms" => millis(begun.elapsed()));
     }
 }
 
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -20,7 +20,10 @@
             dialect::Dialect,
             verdict::{Cause, Failure, Verdict},
         },
-        state::routes::{Destination, Route},
+        state::{
+            pace::Usual,
+            routes::{Destination, Route},
+        },
     },
     slog::info,
     std::{
@@ -45,8 +48,8 @@
     route: Arc<Route>,
     learned: Arc<Learned>,
     outgoing: Arc<Outgoing>,
-    /// Usual time of a reply when the request came.
-    usual: Duration,
+    /// Usual time of a reply.
+    usual: Arc<Usual>,
     hedge_delay: Duration,
     started: Instant,
     /// Whether another host may have asked leaves of these services before.
@@ -107,7 +110,7 @@
         let (sender, ended) = mpsc::unbounded_channel();
         Self {
             gateway,
-            usual: usual.unwrap_or(hedge::first_guess(route.aim)),
+            usual: Arc::new(Usual::new(usual.unwrap_or(hedge::first_guess(route.aim)))),
             hedge_delay: hedge::delay(usual, route.aim),
             view,
             route,
@@ -262,7 +265,7 @@
             let run = &self.runs[place];
             info!(self.gateway.log, "race: leaf late";
                 "request" => self.id(), "service" => run.name(), "leaf" => run.last_leaf(),
-                "waited_ms" => millis(run.age(now)), "usual_ms" => millis(self.usual),
+                "waited_ms" => millis(run.age(now)), "usual_ms" => millis(self.usual.get()),
                 "outcome" => send.name());
         }
         if is_granted {
@@ -305,9 +308,8 @@
         let call = Call {
             log: self.gateway.log.clone(),
             leaf: Arc::clone(&leaf),
-            learned: Arc::clone(&self.learned),
             outgoing: Arc::clone(&self.outgoing),
-            usual: self.usual,
+            usual: Arc::clone(&self.usual),
             connections: self.view.connections(&leaf.leaf.service),
         };
         let rate = self.view.cold_rate(&leaf.leaf.service);
@@ -360,8 +362,10 @@
                 if reply.status.is_success()
                     || !(is_gathered || reply.status.is_server_error()) =>
             {
+                let took = run.age(now);
                 run.state = State::Done(reply);
                 self.done += 1;
+                self.note_usual(took);
                 if self.telling.is_some_and(|telling| self.done == telling) {
                     let took = now.saturating_duration_since(self.started);
                     self.hedge_delay = hedge::sibling_delay(took, self.hedge_delay);
@@ -406,6 +410,18 @@
         }
     }
 
+    /// Notes how long the reply that just came took, if it is the one in the middle: many
+    /// replies of one request tell no more of what is usual than one.
+    fn note_usual(&self, took: Duration) {
+        let few = hedge::telling_replies(self.runs.len()).is_none();
+        if few {
+            self.learned.note(took);
+        } else if self.done == self.runs.len().div_ceil(2) {
+            self.learned.note(took);
+            self.usual.note(took);
+        }
+    }
+
     fn earn(&self, place: usize, now: Instant) {
         if let Some(service) = &self.runs[place].service {
             let mut allowance = lock(&service.allowance);
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -6,9 +6,10 @@
     crate::{
         clock::{Millis, millis},
         policy::follow::{self, Shunned, Source},
+        state::roster::Member,
         transport::{
             fleet::{self, Batch, Standing, Told, Update},
-            registry::{Changes, Freshness, Heard, Registry, RegistryError},
+            registry::{Changes, Freshness, Heard, LeaseId, Registry, RegistryError},
         },
     },
     rand::seq::IndexedRandom,
@@ -17,7 +18,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{sync::oneshot, time::sleep},
     tokio_util::sync::CancellationToken,
 };
 
@@ -70,9 +71,9 @@
     failures: u32,
     /// When a host that follows another may ask the registry again.
     asked_again: Millis,
-    /// Whether other hosts may still be asked for everything.
-    is_new: bool,
     shunned: Shunned,
+    /// Who waits for the lease of an earlier process of this host.
+    before: Option<oneshot::Sender<LeaseId>>,
 }
 
 /// Whether the registry answers this host.
@@ -88,9 +89,10 @@
 }
 
 impl<R: Registry> Follower<R> {
-    /// Returns a follower that knows nothing yet.
+    /// Returns a follower that knows nothing yet. `before` is told the lease that an earlier
+    /// process of this host had, once that is known.
     #[must_use]
-    pub fn new(gateway: Arc<Gateway>, registry: Arc<R>) -> Self {
+    pub fn new(gateway: Arc<Gateway>, registry: Arc<R>, before: oneshot::Sender<LeaseId>) -> Self {
         Self {
             gateway,
             registry,
@@ -100,8 +102,8 @@
             contact: Contact::Answers,
             failures: 0,
             asked_again: Millis::default(),
-            is_new: true,
             shunned: Shunned::default(),
+            before: Some(before),
         }
     }
 
@@ -109,8 +111,14 @@
     pub async fn run(mut self, stop: CancellationToken) {
         while !stop.is_cancelled() {
             match self.source() {
-                Source::Registry if std::mem::take(&mut self.is_new) => self.begin(&stop).await,
-                Source::Registry => self.step(&stop).await,
+                Source::Registry => {
+                    if self.known.revision() == 0 {
+                        self.begin(&stop).await;
+                    }
+                    if self.known.revision() == 0 || self.source() == Source::Registry {
+                        self.step(&stop).await;
+                    }
+                }
                 Source::Host(address) => self.follow(address, &stop).await,
             }
         }
@@ -261,6 +269,19 @@
         self.revision = Some(heard.revision);
         let gateway = &self.gateway;
         let is_news = self.known.hear(gateway, changes, is_whole, now);
+        let own = self.known.roster.member(&gateway.settings.id);
+        let settings = &gateway.settings;
+        let is_same = |member: &&Member| {
+            (Some(member.address), &member.domain, member.processor)
+                == (settings.peer_address, &settings.domain, settings.processor)
+        };
+        let own = own.filter(is_same).map(|own| LeaseId(own.lease));
+        if let Some(before) = self.before.take()
+            && let Some(lease) = own.filter(|lease| lease.0 > 0)
+        {
+            // Who waits may have stopped already.
+            let _ = before.send(lease);
+        }
         self.known.keep(heard, is_whole);
         if is_news {
             gateway.publish(self.known.view(gateway, now));
--- a/src/gateway/upkeep/following.rs
+++ b/src/gateway/upkeep/following.rs
@@ -11,7 +11,10 @@
         },
     },
     slog::info,
-    std::{net::SocketAddr, time::Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio_util::sync::CancellationToken,
 };
 
@@ -47,29 +50,35 @@
             let age = update.standing.age;
             let is_behind = follow::is_behind(age, Millis::now().since(begun));
             self.learn(update).await;
+            if !is_behind {
+                continue;
+            }
             // The registry may be away for everybody: then another source is no better.
-            if is_behind && self.is_answered().await {
+            let took = self.probe().await;
+            if took.is_some_and(|took| follow::is_left(age, took)) {
                 let reason = format!("its registry answered {} ms ago", millis(age));
                 return self.shun(source, &reason);
             }
         }
     }
 
-    /// Returns whether the registry answers this host, as far as it was asked lately.
-    async fn is_answered(&mut self) -> bool {
-        let now = Millis::now();
-        if now < self.asked_again {
-            return false;
+    /// Returns how long the registry takes to answer this host; `None` when it does not, or
+    /// did not a moment ago.
+    async fn probe(&mut self) -> Option<Duration> {
+        let asked = Millis::now();
+        if asked < self.asked_again {
+            return None;
         }
-        let is_answered = self.registry.probe().await.is_ok();
-        self.gateway.metrics.called(is_answered);
-        if is_answered {
+        let answer = self.registry.probe().await;
+        self.gateway.metrics.called(answer.is_ok());
+        let now = Millis::now();
+        if answer.is_ok() {
             self.failures = 0;
-        } else {
-            self.failures += 1;
-            self.asked_again = Millis::now().plus(follow::retry_pause(self.failures));
+            return Some(now.since(asked));
         }
-        is_answered
+        self.failures += 1;
+        self.asked_again = now.plus(follow::retry_pause(self.failures));
+        None
     }
 
     pub(super) async fn learn(&mut self, update: Update) {
--- a/src/policy/follow.rs
+++ b/src/policy/follow.rs
@@ -116,6 +116,13 @@
     age > STALE_TIME && followed > SETTLE_TIME
 }
 
+/// Returns whether a source that the registry answered `age` ago is left, when the registry
+/// answers this host in `took`: one that is slow for both is heard later by both.
+#[must_use]
+pub fn is_left(age: Duration, took: Duration) -> bool {
+    age > STALE_TIME + took * 2
+}
+
 /// Returns whether a starting host may begin with another host's word that is `age` old.
 #[must_use]
 pub fn is_fresh(age: Duration) -> bool {
--- a/src/state/pace.rs
+++ b/src/state/pace.rs
@@ -5,7 +5,10 @@
 //! leaf's slowness rises with one late reply and falls back by itself, sooner after a
 //! single stall than after a row of slow replies, so that each leaf is tried again.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
 
 /// Share by which a sample moves an estimate of the median.
 const MEDIAN_STEP: f64 = 0.04;
@@ -51,6 +54,42 @@
     }
 }
 
+/// What is usual for the replies of one request: what is usual for its route, until half of
+/// its own replies are in. These came through the same queues and over the same links, and
+/// were read by a host as busy as it is now.
+#[derive(Debug)]
+pub struct Usual {
+    route: Duration,
+    /// Microseconds; 0 until it is known.
+    own: AtomicU64,
+}
+
+impl Usual {
+    /// Returns what is usual for a request of a route whose requests usually take `route`.
+    #[must_use]
+    pub fn new(route: Duration) -> Self {
+        Self {
+            route,
+            own: AtomicU64::new(0),
+        }
+    }
+
+    /// Notes that half of the request's replies took `took` at most.
+    pub fn note(&self, took: Duration) {
+        let took = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        self.own.store(took, Ordering::Relaxed);
+    }
+
+    /// Returns what is usual.
+    #[must_use]
+    pub fn get(&self) -> Duration {
+        match self.own.load(Ordering::Relaxed) {
+            0 => self.route,
+            own => Duration::from_micros(own),
+        }
+    }
+}
+
 /// How a leaf compares with what is usual; 1 is usual.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -66,6 +66,8 @@
     pub domain: Name,
     /// Share of a core that it has, thousandths.
     pub processor: u32,
+    /// The lease that keeps its entry; 0 when it does not say.
+    pub lease: u64,
 }
 
 /// One thing that the registry tells.
@@ -221,6 +223,12 @@
         self.members.values()
     }
 
+    /// Returns the entry host of this name.
+    #[must_use]
+    pub fn member(&self, id: &str) -> Option<&Member> {
+        self.members.get(id)
+    }
+
     /// Returns everything as news, for a host that learns from this one.
     #[must_use]
     pub fn all(&self) -> Vec<News> {
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -123,7 +123,4 @@
 
     /// Extends a lease.
     fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), RegistryError>> + Send;
-
-    /// Ends a lease, and with it the entry.
-    fn leave(&self, lease: LeaseId) -> impl Future<Output = Result<(), RegistryError>> + Send;
 }
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -31,6 +31,7 @@
         address: ([10, 1, 0, 1], 7_000 + number).into(),
         domain: domain.into(),
         processor,
+        lease: 0,
     }
 }
 
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -7,7 +7,10 @@
             place::{self, Candidate},
             wait::{self, Progress, Wait},
         },
-        state::{pace::Pace, routes::Repeats},
+        state::{
+            pace::{Median, Pace, SLOW, Usual},
+            routes::Repeats,
+        },
     },
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64,
@@ -231,3 +234,40 @@
     assert!(pace.slowness(start) > 2.5);
     assert!(pace.slowness(start + Duration::from_secs(1)) < 1.5);
 }
+
+/// A leaf that takes 99 ms where others take 11, asked by a host that reads all replies of
+/// one request 30 ms late.
+#[test]
+fn a_busy_host_tells_slow_leaves_from_its_own_backlog() {
+    // Arrange
+    let now = Instant::now();
+    let backlog = Duration::from_millis(30);
+    let [well, slow] = [11, 99].map(Duration::from_millis);
+    let usual = Usual::new(well);
+    let mut paces = [Pace::default(), Pace::default()];
+
+    // Act
+    usual.note(well + backlog);
+    for (pace, took) in paces.iter_mut().zip([well, slow]) {
+        pace.note(took + backlog, usual.get(), now);
+        pace.note(took + backlog, usual.get(), now);
+    }
+
+    // Assert
+    let [well, slow] = paces.map(|pace| pace.slowness(now));
+    assert!(well < 1.2, "{well}");
+    assert!(slow >= SLOW * 0.8, "{slow}");
+}
+
+#[test]
+fn one_backlogged_request_moves_what_is_usual_by_one_step() {
+    let mut usual = Median::default();
+    let calm = Duration::from_millis(11);
+    for _ in 0..50 {
+        usual.note(calm);
+    }
+    // The replies of a request are noted as one, by the one in the middle.
+    usual.note(Duration::from_millis(400));
+    let moved = usual.get().expect("it is known");
+    assert!(moved < calm.mul_f64(1.1), "{moved:?}");
+}
