--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -37,7 +37,10 @@
 
 use {
     crate::{
-        clock::Millis, policy::follow::Source, protocol::dialect::Dialect, transport::fleet::Held,
+        clock::Millis,
+        policy::follow::Source,
+        protocol::dialect::Dialect,
+        transport::{fleet::Held, leaf::Reading},
     },
     arc_swap::ArcSwap,
     eyre::Result,
@@ -65,6 +68,8 @@
     pub metrics: Metrics,
     /// What other entry hosts may learn from this one.
     pub held: Held,
+    /// What is being read from leaves.
+    pub reading: Reading,
     /// Told when a call to the registry had no answer, or the first one after that has.
     pub doubted: Notify,
     view: ArcSwap<View>,
@@ -92,6 +97,7 @@
             log,
             metrics,
             held: Held::default(),
+            reading: Reading::default(),
             doubted: Notify::new(),
             view: ArcSwap::default(),
             stopping: AtomicBool::new(false),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,7 +9,7 @@
             verdict::{Cause, Failure, Verdict},
         },
         state::pace::Usual,
-        transport::leaf::{Connection, LeafReply, Slot},
+        transport::leaf::{Connection, LeafReply, Reading, Slot},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -70,10 +70,10 @@
 
 impl Call {
     /// Sends the request and returns how that ended.
-    pub async fn run(self, dialect: &Dialect) -> Outcome {
+    pub async fn run(self, dialect: &Dialect, reading: &Reading) -> Outcome {
         let ticket = self.leaf.begin(self.usual.get(), Instant::now());
         let deadline = self.outgoing.deadline.into();
-        let outcome = match timeout_at(deadline, self.exchange(dialect)).await {
+        let outcome = match timeout_at(deadline, self.exchange(dialect, reading)).await {
             Ok(outcome) => outcome,
             Err(_) => Outcome::Failed(Failed {
                 failure: Failure::may_have_run(Cause::Deadline),
@@ -84,7 +84,7 @@
         outcome
     }
 
-    async fn exchange(&self, dialect: &Dialect) -> Outcome {
+    async fn exchange(&self, dialect: &Dialect, reading: &Reading) -> Outcome {
         loop {
             let (connection, place) = match self.connect().await {
                 Ok(connected) => connected,
@@ -101,7 +101,7 @@
                     arrived: false,
                 });
             };
-            match connection.exchange(request, dialect).await {
+            match connection.exchange(request, dialect, reading).await {
                 Ok((reply, kept)) => {
                     place.give_back(kept);
                     if reply.status == StatusCode::MISDIRECTED_REQUEST && self.leaf.note_gone() {
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -325,7 +325,7 @@
         let sender = self.sender.clone();
         let gateway = Arc::clone(&self.gateway);
         let task = tokio::spawn(async move {
-            let outcome = call.run(&gateway.dialect).await;
+            let outcome = call.run(&gateway.dialect, &gateway.reading).await;
             // Nobody may wait for it any more.
             let _ = sender.send(Ended {
                 run: place,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -32,6 +32,7 @@
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
+    tokio::time::timeout_at,
 };
 
 /// Answers one request.
@@ -104,7 +105,12 @@
     let (head, body) = request.into_parts();
     let waits = gateway.dialect.deadline(&head.headers);
     let waits = waits.map_or(route.timeout, |waits| waits.min(route.timeout));
-    let body = read_body(body, routes.limits.body_bytes).await?;
+    let reading = read_body(body, routes.limits.body_bytes);
+    let Ok(body) = timeout_at((started + waits).into(), reading).await else {
+        let why = "the body did not come within the time of the request";
+        return Err(answer::plain(StatusCode::REQUEST_TIMEOUT, why));
+    };
+    let body = body?;
     let mut headers = head.headers;
     answer::strip(&mut headers);
     // Each send sets these anew; with their places made, its copy need not grow.
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -14,11 +14,11 @@
         dialect::Dialect,
         verdict::{Cause, Failure},
     },
-    bytes::Bytes,
-    http_body_util::{BodyExt, Full, Limited},
+    bytes::{Bytes, BytesMut},
+    http_body_util::{BodyExt, Full},
     hyper::{
         HeaderMap, Request, StatusCode,
-        body::Incoming,
+        body::{Body, Incoming},
         client::conn::http1::{self, SendRequest},
         header::{CONNECTION, HeaderName},
     },
@@ -29,7 +29,10 @@
         io,
         net::SocketAddr,
         pin::{Pin, pin},
-        sync::{Mutex, MutexGuard, PoisonError},
+        sync::{
+            Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{net::TcpStream, time::timeout},
@@ -56,6 +59,13 @@
 /// Largest body of a reply, bytes.
 const BODY_LIMIT: usize = 8 << 20;
 
+/// Largest head of a reply, bytes.
+const HEAD_LIMIT: usize = 64 << 10;
+
+/// Bytes of bodies that a host reads at once, from all leaves together. Leaves that send
+/// bytes without end, many at a time, must not fill the 160 MB of the smallest hosts.
+const READING_LIMIT: usize = 32 << 20;
+
 /// Name of the header that states a leaf's idle timeout.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -80,6 +90,33 @@
     is_used: bool,
 }
 
+/// Bytes of bodies that are being read from leaves.
+#[derive(Debug, Default)]
+pub struct Reading {
+    bytes: AtomicUsize,
+}
+
+/// The part of [`Reading`] that one body takes; given back when dropped.
+struct Room<'a> {
+    reading: &'a Reading,
+    taken: usize,
+}
+
+impl Room<'_> {
+    /// Takes room for `bytes` more; false when there is none.
+    fn take(&mut self, bytes: usize) -> bool {
+        self.taken += bytes;
+        let before = self.reading.bytes.fetch_add(bytes, Ordering::Relaxed);
+        before + bytes <= READING_LIMIT && self.taken <= BODY_LIMIT
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.reading.bytes.fetch_sub(self.taken, Ordering::Relaxed);
+    }
+}
+
 /// What reads and writes for a connection.
 #[derive(Debug)]
 struct Socket {
@@ -147,6 +184,7 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         bound_silence(&stream)?;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(HEAD_LIMIT)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -177,6 +215,7 @@
         mut self,
         request: Request<Full<Bytes>>,
         dialect: &Dialect,
+        reading: &Reading,
     ) -> Result<(LeafReply, Option<Self>), NoReply> {
         let id = request.headers().get(&dialect.request_id).cloned();
         let Self { sender, socket, .. } = &mut self;
@@ -192,7 +231,7 @@
             }
         };
         let (head, body) = response.into_parts();
-        let body = socket.drive(read(body)).await.ok_or_else(broken)?;
+        let body = socket.drive(read(body, reading)).await.ok_or_else(broken)?;
         // A reply to another request may have come in late.
         if id.is_some() && head.headers.get(&dialect.request_id) != id.as_ref() {
             return Err(NoReply {
@@ -238,9 +277,24 @@
     }
 }
 
-async fn read(body: Incoming) -> Option<Bytes> {
-    let whole = Limited::new(body, BODY_LIMIT).collect().await.ok()?;
-    Some(whole.to_bytes())
+/// Reads a whole body; `None` when it breaks off or is too large.
+async fn read(mut body: Incoming, reading: &Reading) -> Option<Bytes> {
+    let mut room = Room { reading, taken: 0 };
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        if !room.take(data.len()) {
+            return None;
+        }
+        // Most bodies come in one piece.
+        if whole.is_empty() && body.is_end_stream() {
+            return Some(data);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Some(whole.freeze())
 }
 
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
