A leaf that turns away a part of its requests is left for its sound replica

Change: the part that a leaf turns away is estimated and counts in its cost, forgotten within seconds.

--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -9,6 +9,7 @@
         state::{
             allowance::{Allowance, Share},
             pace::{Median, Pace, SLOW},
+            refusals::Refusals,
             roster::Leaf,
             routes::RouteTable,
             warmup::Warmup,
@@ -90,6 +91,7 @@
     pace: Pace,
     load: Option<(Load, Instant)>,
     full: Option<Instant>,
+    refusals: Refusals,
     pending: Vec<Pending>,
     next: u64,
     warmup: Warmup,
@@ -257,6 +259,7 @@
             is_full: stats
                 .full
                 .is_some_and(|at| now.saturating_duration_since(at) < FULL_TIME),
+            refusals: stats.refusals.part(now),
         }
     }
 }
@@ -272,6 +275,7 @@
     pub fn replied(&self, usual: Duration, load: Option<Load>, now: Instant) {
         let mut stats = lock(&self.leaf.stats);
         stats.pace.note(self.age(now), usual, now);
+        stats.refusals.note(false, now);
         if let Some(load) = load {
             stats.load = Some((load, now));
         }
@@ -279,7 +283,9 @@
 
     /// Notes that the leaf refused as full.
     pub fn refused(&self, now: Instant) {
-        lock(&self.leaf.stats).full = Some(now);
+        let mut stats = lock(&self.leaf.stats);
+        stats.full = Some(now);
+        stats.refusals.note(true, now);
     }
 
     /// Notes that the leaf failed the request.
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -1,7 +1,7 @@
 //! Which leaf of a service gets a request.
 //!
 //! Load it answers: leaves that stall for a moment or turn many times slower for
-//! seconds, while their replicas are idle. A leaf is drawn by the inverse of the time
+//! seconds, or turn away a part of their requests, while their replicas are idle. A leaf is drawn by the inverse of the time
 //! that it is likely to take, so that many hosts with the same view do not all pick
 //! the same leaf.
 
@@ -25,6 +25,10 @@
 /// Cost factor of a leaf that said a moment ago that it takes no more.
 const FULL: f64 = 8.0;
 
+/// Cost of a leaf that turns away all of its requests, beside that of one that turns away
+/// none: each costs a way there and one of the requests that may be sent again.
+const REFUSING: f64 = 12.0;
+
 /// What is known of a leaf that could be asked.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -44,6 +48,8 @@
     pub is_connected: bool,
     /// Whether it refused a request as full a moment ago.
     pub is_full: bool,
+    /// Part of its requests that it turns away.
+    pub refusals: f64,
 }
 
 impl Candidate {
@@ -61,7 +67,8 @@
         let full = if self.is_full { FULL } else { 1.0 };
         let slowness = self.slowness.max(self.overdue).max(0.1);
         let doubt = (slowness / TELLING_SLOWNESS).max(1.0);
-        slowness * doubt * (1.0 + queue) * way * opening * full
+        let refusing = 1.0 + self.refusals * REFUSING;
+        slowness * doubt * (1.0 + queue) * way * opening * full * refusing
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,7 @@
 pub mod pace;
 pub mod quarantine;
 pub mod ramp;
+pub mod refusals;
 pub mod roster;
 pub mod routes;
 pub mod versions;
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -9,6 +9,7 @@
         },
         state::{
             pace::{Median, Pace, SLOW, Usual},
+            refusals::Refusals,
             routes::Repeats,
         },
     },
@@ -148,6 +149,7 @@
         is_near: true,
         is_connected: true,
         is_full: false,
+        refusals: 0.0,
     }
 }
 
@@ -289,6 +291,7 @@
         is_near: false,
         is_connected: false,
         is_full: false,
+        refusals: 0.0,
     };
     let mut pace = Pace::default();
 
@@ -314,3 +317,35 @@
     assert!((2..=6).contains(&tries), "{tries} of 30 requests");
     assert!(pace.slowness(later) < SLOW, "it is tried again");
 }
+
+/// A shard of two leaves, the first of which turns away two in five requests at random for
+/// 9 s, asked ten times a second; then it is well.
+#[test]
+fn a_leaf_that_turns_requests_away_at_random_is_left_for_its_sound_replica() {
+    // Arrange
+    let start = Instant::now();
+    let mut random = Pcg64::seed_from_u64(3);
+    let mut leaves = [Refusals::default(), Refusals::default()];
+    let leaf = |refusals: f64| Candidate {
+        refusals,
+        ..candidate(&Pace::default(), start)
+    };
+
+    // Act
+    let mut refused = [0; 2];
+    let mut well = 0;
+    for number in 0..250_u32 {
+        let now = start + Duration::from_millis(100) * number;
+        let candidates = leaves.map(|refusals| leaf(refusals.part(now)));
+        let chosen = place::choose(&candidates, random.random()).expect("there are two");
+        let is_ill = chosen == 0 && number < 90;
+        let is_refused = is_ill && random.random::<f64>() < 0.4;
+        leaves[chosen].note(is_refused, now);
+        refused[usize::from(number >= 20)] += u32::from(is_refused);
+        well += u32::from(chosen == 0 && number >= 150);
+    }
+
+    // Assert
+    assert!(refused[1] <= 7, "{} of 70 after 2 s", refused[1]);
+    assert!((30..=70).contains(&well), "{well} of 100 once it is well");
+}
