A piece handed on counts what its hosts before may have run, however many they were

Hosts slowed down five times and cut off said nothing one after the other, and each time the shards were handed on with all but one of the route's attempts. The attempts left are those of the piece given up. The test fails before (3 times handed on and once run).

--- a/src/gateway/gather.rs
+++ b/src/gateway/gather.rs
@@ -65,6 +65,8 @@
     /// `None` for this host.
     helper: Option<Arc<HelperHandle>>,
     services: Vec<Name>,
+    /// Leaves of one service that its host may ask.
+    attempts: u32,
     /// Shards whose reply or loss was told.
     settled: usize,
     refused: usize,
@@ -298,6 +300,7 @@
         self.pieces.push(Asked {
             helper: None,
             services,
+            attempts,
             settled: 0,
             refused: 0,
             state: PieceState::Taken,
@@ -334,6 +337,7 @@
         self.pieces.push(Asked {
             helper: Some(helper),
             services,
+            attempts,
             settled: 0,
             refused: 0,
             state: PieceState::Sent(Instant::now()),
@@ -408,7 +412,7 @@
         let piece = &mut self.pieces[place];
         piece.state = PieceState::Ended;
         let left = piece.services.len().saturating_sub(piece.settled);
-        let attempts = reassign::attempts_left(stage, self.route.attempts);
+        let attempts = reassign::attempts_left(stage, piece.attempts);
         let services = std::mem::take(&mut piece.services);
         if let Some(helper) = &piece.helper {
             helper.note_silent(now);
