--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -142,17 +142,28 @@
         source
     }
 
-    /// Learns everything from another host, if one of the seeds is at hand: so many hosts may
-    /// start at once that the registry's link is full of what all of them read.
+    /// Learns everything from another host, if the fleet is large and one of the seeds is at
+    /// hand: so many hosts may start at once that the registry's link is full of what all of
+    /// them read. Few hosts have read everything before a seed has started.
     async fn begin(&mut self, stop: &CancellationToken) {
         let seeds = &self.gateway.reloaded().seeds;
         let own = self.gateway.settings.peer_address;
-        if own.is_some_and(|own| seeds.contains(&own)) {
+        if seeds.is_empty() || own.is_some_and(|own| seeds.contains(&own)) {
             return;
         }
+        let learning = async {
+            let is_large = self.registry.has_many_hosts(self.patience()).await;
+            self.gateway.metrics.called(is_large.is_ok());
+            // Without its word the others may know more.
+            if is_large.unwrap_or(true) {
+                fleet::learn(seeds, own).await
+            } else {
+                None
+            }
+        };
         let learned = tokio::select! {
             () = stop.cancelled() => return,
-            learned = fleet::learn(seeds, own) => learned,
+            learned = learning => learned,
         };
         let Some((source, snapshot)) = learned else {
             info!(self.gateway.log, "upkeep: no other host tells everything"; "seeds" => seeds.len());
--- a/src/state/pace.rs
+++ b/src/state/pace.rs
@@ -128,9 +128,10 @@
         let present = self.slowness(now);
         let streak = usize::try_from(self.streak).unwrap_or(usize::MAX);
         self.half = FORGET_TIMES[streak.clamp(1, FORGET_TIMES.len()) - 1];
-        // A slow reply is believed at once, and a good one clears a doubt at once; the value
-        // itself moves slowly.
-        self.slowness = if sample >= SLOW || present >= SLOW {
+        // One slow reply is mostly a stall. A second one in a row is believed at once, and a
+        // good one clears a doubt at once; else the value moves slowly.
+        let is_clear = self.streak > 1 || (sample < SLOW && present >= SLOW);
+        self.slowness = if is_clear {
             sample
         } else {
             present + (sample - present) * WEIGHT
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -111,6 +111,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Heard, RegistryError>> + Send;
 
+    /// Returns whether there are more entry hosts than one call of reading names; the call must
+    /// be answered within `patience`, and its answer may be seconds old.
+    fn has_many_hosts(
+        &self,
+        patience: Duration,
+    ) -> impl Future<Output = Result<bool, RegistryError>> + Send;
+
     /// Asks, at the least cost, whether the registry answers.
     fn probe(&self) -> impl Future<Output = Result<(), RegistryError>> + Send;
 
