--- a/src/gateway/gather.rs
+++ b/src/gateway/gather.rs
@@ -5,9 +5,9 @@
     super::{
         Gateway,
         call::Outgoing,
-        helpers::HelperHandle,
-        metrics::Piece,
-        piece::{self, Work},
+        helpers::{HelperHandle, weigh},
+        metrics::Handed,
+        piece::Work,
         view::View,
     },
     crate::{
@@ -21,23 +21,16 @@
         state::routes::{Route, Shards},
         transport::fleet::{Lost, NotTaken, Parts},
     },
-    futures_util::{
-        FutureExt, StreamExt,
-        stream::{self, BoxStream},
-    },
+    futures_util::{FutureExt, StreamExt, stream::BoxStream},
     slog::info,
-    std::{
-        future::ready,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Instant},
     tokio::time::timeout_at,
     tokio_stream::StreamMap,
 };
 
-/// Time before the answer's cut at which other hosts tell their replies: the way back and
-/// the merge of some pieces on a small host.
-const PIECE_RESERVE: Duration = Duration::from_millis(6);
+mod asked;
+
+use self::asked::{Asked, Event, PieceState};
 
 /// Hosts that ask in place of one that did not, when no other has taken a piece on.
 const AGAIN: usize = 2;
@@ -52,45 +45,14 @@
     outgoing: Arc<Outgoing>,
     started: Instant,
     pieces: Vec<Asked>,
-    /// What the hosts of the pieces tell, by place.
-    told: StreamMap<usize, BoxStream<'static, Told>>,
+    /// What becomes of the pieces, by place.
+    events: StreamMap<usize, BoxStream<'static, Event>>,
     /// Replies so far.
     pub parts: Vec<Parts>,
     /// Shards that give none.
     pub lost: Vec<Lost>,
 }
 
-/// A piece that some host asks.
-struct Asked {
-    /// `None` for this host.
-    helper: Option<Arc<HelperHandle>>,
-    services: Vec<Name>,
-    /// Leaves of one service that its host may ask.
-    attempts: u32,
-    /// Shards whose reply or loss was told.
-    settled: usize,
-    refused: usize,
-    state: PieceState,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PieceState {
-    /// Handed over at this time.
-    Sent(Instant),
-    /// Taken on.
-    Taken,
-    /// Nothing more comes.
-    Ended,
-}
-
-/// What a piece's host tells.
-enum Told {
-    Taken,
-    Parts(Parts),
-    NotTaken(NotTaken),
-    Ended(Option<String>),
-}
-
 impl<'a> Gathering<'a> {
     /// Prepares a request.
     #[must_use]
@@ -112,7 +74,7 @@
             outgoing: Arc::new(outgoing),
             started,
             pieces: Vec::new(),
-            told: StreamMap::new(),
+            events: StreamMap::new(),
             parts: Vec::new(),
             lost: Vec::new(),
         }
@@ -121,8 +83,7 @@
     /// Returns how many of the shards have a leaf that can be asked.
     #[must_use]
     pub fn reachable(&self) -> usize {
-        let known = |service: &&Name| !self.view.leaves(service).is_empty();
-        self.shards.services.iter().filter(known).count()
+        self.view.reachable(&self.shards.services)
     }
 
     /// Returns the replies so far.
@@ -153,14 +114,14 @@
                 decided => return decided,
             };
             let until = self.next_due().map_or(until, |due| due.min(until));
-            match timeout_at(until.into(), self.told.next()).await {
-                Ok(Some((place, told))) => self.note(place, told),
+            match timeout_at(until.into(), self.events.next()).await {
+                Ok(Some((place, event))) => self.note(place, event),
                 Ok(None) => tokio::time::sleep_until(until.into()).await,
                 // What came in while this host was busy is read before anything is late.
                 Err(_) => {
                     tokio::task::yield_now().await;
-                    while let Some(Some((place, told))) = self.told.next().now_or_never() {
-                        self.note(place, told);
+                    while let Some(Some((place, event))) = self.events.next().now_or_never() {
+                        self.note(place, event);
                     }
                 }
             }
@@ -291,20 +252,9 @@
     }
 
     fn ask_alone(&mut self, services: Vec<Name>, attempts: u32, is_repeat: bool) {
-        let place = self.pieces.len();
         let work = self.work(services.clone(), attempts, is_repeat);
-        let parts = piece::ask(Arc::clone(self.gateway), Arc::clone(&self.view), work);
-        let told = parts.map(Told::Parts);
-        let ended = stream::once(ready(Told::Ended(None)));
-        self.told.insert(place, told.chain(ended).boxed());
-        self.pieces.push(Asked {
-            helper: None,
-            services,
-            attempts,
-            settled: 0,
-            refused: 0,
-            state: PieceState::Taken,
-        });
+        let events = asked::alone(Arc::clone(self.gateway), Arc::clone(&self.view), work);
+        self.begin_piece(Asked::new(None, services, attempts), events);
     }
 
     fn hand(
@@ -314,64 +264,44 @@
         attempts: u32,
         is_repeat: bool,
     ) {
-        let place = self.pieces.len();
         let work = self.work(services.clone(), attempts, is_repeat);
-        let version = self.version;
-        let link = Arc::clone(&helper);
-        let told = stream::once(async move {
-            let piece = || piece::to_piece(&work, version, PIECE_RESERVE);
-            match link.link.hand(piece).await {
-                Ok(parts) => {
-                    let parts = parts.map(|parts| match parts {
-                        Ok(parts) => Told::Parts(parts),
-                        Err(reason) => Told::Ended(Some(reason)),
-                    });
-                    let taken = stream::once(ready(Told::Taken));
-                    let ended = stream::once(ready(Told::Ended(None)));
-                    taken.chain(parts).chain(ended).boxed()
-                }
-                Err(not_taken) => stream::once(ready(Told::NotTaken(not_taken))).boxed(),
-            }
-        });
-        self.told.insert(place, told.flatten().boxed());
-        self.pieces.push(Asked {
-            helper: Some(helper),
-            services,
-            attempts,
-            settled: 0,
-            refused: 0,
-            state: PieceState::Sent(Instant::now()),
-        });
+        let events = asked::by_other(Arc::clone(&helper), work, self.version);
+        self.begin_piece(Asked::new(Some(helper), services, attempts), events);
+    }
+
+    fn begin_piece(&mut self, piece: Asked, events: BoxStream<'static, Event>) {
+        self.events.insert(self.pieces.len(), events);
+        self.pieces.push(piece);
     }
 
-    fn note(&mut self, place: usize, told: Told) {
-        if let (Some(_), Some(outcome)) = (&self.pieces[place].helper, outcome(&told)) {
-            self.gateway.metrics.handed(outcome);
+    fn note(&mut self, place: usize, event: Event) {
+        if let Some(handed) = event.handed() {
+            self.gateway.metrics.handed(handed);
         }
         let piece = &mut self.pieces[place];
-        match told {
-            Told::Taken => {
+        match event {
+            Event::Taken => {
                 piece.state = PieceState::Taken;
                 if let Some(helper) = &piece.helper {
                     helper.note_taken();
                 }
             }
-            Told::Parts(parts) => {
+            Event::Parts(parts) => {
                 piece.settled += parts.count + parts.lost.len();
                 piece.refused = parts.refused;
                 self.lost.extend(parts.lost.iter().cloned());
                 self.parts.push(parts);
             }
-            Told::NotTaken(NotTaken::Broken(reason)) => {
+            Event::NotTaken(NotTaken::Broken(reason)) => {
                 self.give_up(place, Stage::Sent, &reason);
             }
-            Told::NotTaken(NotTaken::Unreachable(reason) | NotTaken::Refused(reason)) => {
+            Event::NotTaken(NotTaken::Unreachable(reason) | NotTaken::Refused(reason)) => {
                 self.give_up(place, Stage::NotTaken, &reason);
             }
-            Told::Ended(_) if piece.settled >= piece.services.len() => {
+            Event::Ended(_) if piece.settled >= piece.services.len() => {
                 piece.state = PieceState::Ended;
             }
-            Told::Ended(reason) => {
+            Event::Ended(reason) => {
                 let reason = reason.unwrap_or_else(|| "ended early".to_owned());
                 self.give_up(place, Stage::Taken, &reason);
             }
@@ -398,7 +328,7 @@
             if let PieceState::Sent(at) = self.pieces[place].state
                 && now >= at + patience
             {
-                self.gateway.metrics.handed(Piece::Late);
+                self.gateway.metrics.handed(Handed::Late);
                 self.give_up(place, Stage::Sent, "not taken on in time");
             }
         }
@@ -408,7 +338,7 @@
     fn give_up(&mut self, place: usize, stage: Stage, reason: &str) {
         let now = Instant::now();
         // What the host may still do is of no use: its connection is told so.
-        self.told.remove(&place);
+        self.events.remove(&place);
         let piece = &mut self.pieces[place];
         piece.state = PieceState::Ended;
         let left = piece.services.len().saturating_sub(piece.settled);
@@ -467,17 +397,3 @@
         self.lost.extend(std::iter::repeat_n(lost, count));
     }
 }
-
-fn weigh(helpers: &[Arc<HelperHandle>]) -> Vec<Helper<'_>> {
-    helpers.iter().map(|helper| helper.weighed()).collect()
-}
-
-/// Returns how handing a piece over went, once that is known.
-fn outcome(told: &Told) -> Option<Piece> {
-    match told {
-        Told::Taken => Some(Piece::Taken),
-        Told::NotTaken(NotTaken::Refused(_)) => Some(Piece::Refused),
-        Told::NotTaken(NotTaken::Unreachable(_) | NotTaken::Broken(_)) => Some(Piece::Failed),
-        Told::Parts(_) | Told::Ended(_) => None,
-    }
-}
--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -12,12 +12,10 @@
         transport::fleet::Link,
     },
     std::{
-        cmp::Reverse,
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::Instant,
     },
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Hosts of each domain that are kept at hand: as many as ask for one request, and some in
@@ -69,9 +67,7 @@
         processors.sort_unstable();
         let middle = processors.get(processors.len() / 2);
         let kept = domains.into_iter().map(|(domain, mut members)| {
-            members.sort_by_cached_key(|member| {
-                (Reverse(member.processor), xxh3_64(member.id.as_bytes()))
-            });
+            members.sort_by_cached_key(|member| member.rank());
             members.truncate(KEPT);
             let known = before.domains.get(&domain).map_or(&[][..], |known| known);
             let handles = members.into_iter().map(|member| {
@@ -101,8 +97,7 @@
         let mut askers = 0;
         let mut is_asker = false;
         for helpers in self.domains.values() {
-            let weighed: Vec<Helper> = helpers.iter().map(|helper| helper.weighed()).collect();
-            let count = divide::askers(shards, self.typical, &weighed);
+            let count = divide::askers(shards, self.typical, &weigh(helpers));
             askers += count;
             is_asker |= helpers[..count].iter().any(|helper| *helper.id == *own);
         }
@@ -140,15 +135,6 @@
         (&self.id, self.address, self.processor) == (&member.id, member.address, member.processor)
     }
 
-    /// Returns what the division goes by.
-    #[must_use]
-    pub fn weighed(&self) -> Helper<'_> {
-        Helper {
-            id: &self.id,
-            processor: self.processor,
-        }
-    }
-
     /// Notes that it took a piece on.
     pub fn note_taken(&self) {
         *lock(&self.silence) = Silence::default();
@@ -168,3 +154,13 @@
         lock(&self.silence).until.is_none_or(|until| now >= until)
     }
 }
+
+/// Returns what the division of a request goes by.
+#[must_use]
+pub fn weigh(helpers: &[Arc<HelperHandle>]) -> Vec<Helper<'_>> {
+    let weighed = helpers.iter().map(|helper| Helper {
+        id: &helper.id,
+        processor: helper.processor,
+    });
+    weighed.collect()
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -85,7 +85,7 @@
 
 /// How handing some shards of a request to another host went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Piece {
+pub enum Handed {
     /// It took them on.
     Taken,
     /// It said that it asks no leaf.
@@ -96,7 +96,7 @@
     Late,
 }
 
-impl Piece {
+impl Handed {
     /// Returns the name that metrics use.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -202,7 +202,7 @@
     }
 
     /// Notes how handing a piece to another host went.
-    pub fn handed(&self, outcome: Piece) {
+    pub fn handed(&self, outcome: Handed) {
         self.pieces.with_label_values(&[outcome.name()]).inc();
     }
 
--- a/src/gateway/piece.rs
+++ b/src/gateway/piece.rs
@@ -184,8 +184,7 @@
         } else {
             None
         };
-        let known = |service: &&Name| !view.leaves(service).is_empty();
-        let reachable = piece.services.iter().filter(known).count();
+        let reachable = view.reachable(&piece.services);
         info!(gateway.log, "piece: asked by another host"; "request" => &*piece.id,
             "route" => &*piece.route, "version" => piece.version, "shards" => piece.services.len(),
             "reachable" => reachable, "known_ms" => millis(gateway.age()),
--- a/src/gateway/upkeep.rs
+++ b/src/gateway/upkeep.rs
@@ -50,9 +50,9 @@
 /// that leaves and hosts that come and go in numbers cost one call.
 const WATCH_PAUSE: f64 = 0.16;
 
-/// Pause after a failed call: the platform's answer takes some milliseconds, and its
-/// rates are shared by all hosts.
-pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause of a host that knows no routes after a failed call, once [`START_ATTEMPTS`] are
+/// made.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Entries that are read before requests get their turn: some hundred microseconds of work
 /// on a whole core.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -128,6 +128,13 @@
             .map_or(&[], |service| &service.leaves)
     }
 
+    /// Returns how many of `services` have a leaf that can be asked.
+    #[must_use]
+    pub fn reachable(&self, services: &[Name]) -> usize {
+        let has_leaf = |service: &&Name| !self.leaves(service).is_empty();
+        services.iter().filter(has_leaf).count()
+    }
+
     /// Returns the requests a second that a cold leaf of `service` bears.
     #[must_use]
     pub fn cold_rate(&self, service: &str) -> Option<f64> {
--- a/src/policy/divide.rs
+++ b/src/policy/divide.rs
@@ -7,7 +7,10 @@
 //! the same for all requests of a domain, and the host that took the request merges what
 //! they have merged.
 
-use {crate::collections::Name, std::time::Duration, xxhash_rust::xxh3::xxh3_64_with_seed};
+use {
+    crate::collections::{Name, hash},
+    std::time::Duration,
+};
 
 /// Processor time of asking one leaf, on a whole core.
 const LEAF_COST: Duration = Duration::from_micros(55);
@@ -193,7 +196,3 @@
 fn as_number(count: usize) -> f64 {
     count as f64
 }
-
-fn hash(id: &str, seed: u64) -> u64 {
-    xxh3_64_with_seed(id.as_bytes(), seed)
-}
--- a/src/policy/follow.rs
+++ b/src/policy/follow.rs
@@ -10,11 +10,10 @@
 use {
     crate::{
         clock::Millis,
-        collections::{Map, Name},
+        collections::{Map, Name, hash},
         state::roster::Member,
     },
     std::{net::SocketAddr, time::Duration},
-    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Sources that a host may follow, one after the other: one may fail, and the other is at
@@ -94,8 +93,7 @@
     if near.len() <= FEW {
         return Source::Registry;
     }
-    // All hosts of the domain must come to the same order, whatever they learned first.
-    near.sort_by_key(|member| (std::cmp::Reverse(member.processor), hash(&member.id, 0)));
+    near.sort_by_key(|member| member.rank());
     let sources = near.len().div_ceil(HOSTS_EACH).max(CHOICES);
     near.truncate(sources);
     if near.iter().any(|member| member.id == *own) {
@@ -134,7 +132,3 @@
 pub fn retry_pause(failures: u32) -> Duration {
     FIRST_PAUSE * 2_u32.pow(failures.saturating_sub(1).min(PAUSE_DOUBLINGS))
 }
-
-fn hash(id: &Name, seed: u64) -> u64 {
-    xxh3_64_with_seed(id.as_bytes(), seed)
-}
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -7,9 +7,9 @@
 use {
     crate::{
         clock::Millis,
-        collections::{Map, Name, Set},
+        collections::{Map, Name, Set, hash},
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{cmp::Reverse, net::SocketAddr, time::Duration},
 };
 
 /// Time in which entries that lapsed while the registry was away are written again:
@@ -70,6 +70,15 @@
     pub lease: u64,
 }
 
+impl Member {
+    /// Returns the place of the host among the others, the most powerful first, in an order to
+    /// which all hosts come whatever they learned first.
+    #[must_use]
+    pub fn rank(&self) -> (Reverse<u32>, u64) {
+        (Reverse(self.processor), hash(&self.id, 0))
+    }
+}
+
 /// One thing that the registry tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
