Log and count the rate limits that leaves state

A reply's limit is now recorded at the leaf, each change of it and each attempt at such a leaf is logged with its reason, and limited_sends_total counts these attempts. What is sent is not changed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -73,7 +73,8 @@
     pub async fn run(self, dialect: &Dialect, buffers: &ReplyBuffers) -> Outcome {
         let in_flight = self.leaf.start_attempt(self.baseline.get(), Instant::now());
         let deadline = self.outgoing.deadline.into();
-        let outcome = match timeout_at(deadline, self.exchange(dialect, buffers)).await {
+        let exchange = self.exchange(dialect, buffers, &in_flight);
+        let outcome = match timeout_at(deadline, exchange).await {
             Ok(outcome) => outcome,
             Err(_) => Outcome::Failed(FailedAttempt {
                 failure: Failure::may_have_run(Cause::Deadline),
@@ -84,7 +85,12 @@
         outcome
     }
 
-    async fn exchange(&self, dialect: &Dialect, buffers: &ReplyBuffers) -> Outcome {
+    async fn exchange(
+        &self,
+        dialect: &Dialect,
+        buffers: &ReplyBuffers,
+        in_flight: &InFlight,
+    ) -> Outcome {
         loop {
             let (connection, permit) = match self.connect().await {
                 Ok(connected) => connected,
@@ -104,11 +110,10 @@
             match connection.exchange(request, dialect, buffers).await {
                 Ok((reply, reusable)) => {
                     permit.return_connection(reusable);
-                    if reply.status == StatusCode::MISDIRECTED_REQUEST
-                        && self.leaf.record_replaced()
-                    {
-                        info!(self.log, "attempt: another leaf has the address"; "request" => &*self.outgoing.id,
-                            "leaf" => &*self.leaf.leaf.id, "address" => %self.leaf.leaf.address);
+                    if reply.status == StatusCode::MISDIRECTED_REQUEST {
+                        self.record_replaced();
+                    } else {
+                        self.record_rate_limit(dialect.rate_limit(&reply.headers), in_flight);
                     }
                     return classify_reply(dialect, reply);
                 }
@@ -125,6 +130,20 @@
         }
     }
 
+    fn record_replaced(&self) {
+        if self.leaf.record_replaced() {
+            info!(self.log, "attempt: another leaf has the address"; "request" => &*self.outgoing.id,
+                "leaf" => &*self.leaf.leaf.id, "address" => %self.leaf.leaf.address);
+        }
+    }
+
+    fn record_rate_limit(&self, rate: Option<f64>, in_flight: &InFlight) {
+        if self.leaf.record_rate_limit(rate, in_flight.sent_at()) {
+            info!(self.log, "attempt: leaf states another rate limit"; "request" => &*self.outgoing.id,
+                "leaf" => &*self.leaf.leaf.id, "per_s" => rate);
+        }
+    }
+
     async fn connect(&self) -> Result<(Connection, ConnectionPermit<'_>), Cause> {
         match self.leaf.pool.acquire(self.connections, Instant::now()) {
             Slot::Idle(connection) => Ok((*connection, ConnectionPermit::new(&self.leaf))),
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -334,6 +334,12 @@
             return;
         };
         self.gateway.metrics.record_attempt(reason);
+        if let Some(limit) = leaf.rate_limit() {
+            self.gateway.metrics.record_limited_attempt(reason);
+            info!(self.gateway.log, "hedged_request: sent to a leaf with a rate limit";
+                "request" => self.id(), "leaf" => &*leaf.leaf.id, "per_s" => limit,
+                "reason" => reason.name());
+        }
         let attempt = Attempt {
             log: self.gateway.log.clone(),
             leaf: Arc::clone(&leaf),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,8 @@
     latency: HistogramVec,
     rejections: IntCounterVec,
     attempts: AttemptCounters,
+    /// Attempts at leaves that state a rate limit.
+    limited_attempts: AttemptCounters,
     failures: IntCounterVec,
     missing_shards: IntCounterVec,
     subqueries: IntCounterVec,
@@ -48,6 +50,15 @@
 }
 
 impl AttemptCounters {
+    fn get(&self, reason: AttemptReason) -> &IntCounter {
+        match reason {
+            AttemptReason::First => &self.first,
+            AttemptReason::Hedge => &self.hedge,
+            AttemptReason::Retry => &self.retry,
+            AttemptReason::Denied => &self.denied,
+        }
+    }
+
     fn new(counters: &IntCounterVec) -> Self {
         let of = |reason: AttemptReason| counters.with_label_values(&[reason.name()]);
         Self {
@@ -145,6 +156,11 @@
                 "Sends to leaves by reason",
                 &["reason"],
             )?),
+            limited_attempts: AttemptCounters::new(&counters(
+                "limited_sends_total",
+                "Sends to leaves that state a rate limit, by reason",
+                &["reason"],
+            )?),
             failures: counters("leaf_failures_total", "Failed sends by cause", &["cause"])?,
             missing_shards: counters("left_out_total", "Shards left out by route", &["route"])?,
             subqueries: counters(
@@ -191,13 +207,12 @@
 
     /// Records an attempt, or one that was denied.
     pub fn record_attempt(&self, reason: AttemptReason) {
-        match reason {
-            AttemptReason::First => &self.attempts.first,
-            AttemptReason::Hedge => &self.attempts.hedge,
-            AttemptReason::Retry => &self.attempts.retry,
-            AttemptReason::Denied => &self.attempts.denied,
-        }
-        .inc();
+        self.attempts.get(reason).inc();
+    }
+
+    /// Records an attempt at a leaf that states a rate limit.
+    pub fn record_limited_attempt(&self, reason: AttemptReason) {
+        self.limited_attempts.get(reason).inc();
     }
 
     /// Records a failed attempt: it got no reply that can be passed on.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -8,6 +8,7 @@
         protocol::dialect::Load,
         state::{
             fleet_budget::{BudgetShare, HostBudget},
+            leaf_limit::StatedLimit,
             rejections::RejectionRate,
             relative_latency::{Median, RelativeLatency, SLOW_RATIO},
             roster::Leaf,
@@ -97,6 +98,7 @@
     in_flight: Vec<Attempt>,
     next_number: u64,
     warmup: Warmup,
+    stated_limit: StatedLimit,
     /// Whether another leaf replies at its address.
     is_replaced: bool,
 }
@@ -227,6 +229,18 @@
         !std::mem::replace(&mut lock(&self.stats).is_replaced, true)
     }
 
+    /// Records the rate limit that a reply states, if any; the request was sent at `sent_at`.
+    /// Returns whether the limit changed.
+    pub fn record_rate_limit(&self, rate: Option<f64>, sent_at: Instant) -> bool {
+        lock(&self.stats).stated_limit.update(rate, sent_at)
+    }
+
+    /// Returns the rate limit that the leaf states, requests per second.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<f64> {
+        lock(&self.stats).stated_limit.rate
+    }
+
     /// Counts an attempt that is about to be sent; `baseline` is the baseline latency of the
     /// request's replies.
     #[must_use]
@@ -281,6 +295,12 @@
 }
 
 impl InFlight {
+    /// Returns when the attempt was sent.
+    #[must_use]
+    pub fn sent_at(&self) -> Instant {
+        self.sent_at
+    }
+
     /// Returns the time since the attempt was sent.
     #[must_use]
     pub fn age(&self, now: Instant) -> Duration {
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -22,6 +22,8 @@
     pub expected_leaf: HeaderName,
     /// A leaf's running requests, its queued requests and its slots, separated by commas.
     pub load: HeaderName,
+    /// Requests per second that a leaf takes from all hosts together, a decimal number.
+    pub rate_limit: HeaderName,
     /// Present when the leaf did not run the request.
     pub not_run: HeaderName,
     /// Digests of the replies that a response is merged from.
@@ -60,6 +62,15 @@
         })
     }
 
+    /// Returns the rate limit that a reply states, requests per second; `None` when the header
+    /// is missing or is not a finite number that is not negative.
+    #[must_use]
+    pub fn rate_limit(&self, headers: &HeaderMap) -> Option<f64> {
+        let text = headers.get(&self.rate_limit)?.to_str().ok()?;
+        let rate: f64 = text.trim().parse().ok()?;
+        (rate.is_finite() && rate >= 0.0).then_some(rate)
+    }
+
     /// Returns the digest of a reply; `None` when the header is missing or is not a single word
     /// of visible ASCII characters without a comma.
     #[must_use]
