Log the era of the registry with its revisions

What was missing: the same revision before and after the store was restored looked alike in the log, so the hypotheses of docs/incidents/restored-store.md could not be told apart. What hosts do with a revision is not changed.

--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -9,7 +9,7 @@
     crate::{
         clock::{Millis, millis},
         policy::sync_source::{self, Source, SourceBackoff},
-        state::roster::Member,
+        state::{revision::Revision, roster::Member},
         transport::{
             fleet::{self, ChangeBatch, EncodedEntries, SyncStatus, SyncUpdate},
             registry::{
@@ -269,10 +269,11 @@
         let before = std::mem::replace(&mut self.availability, Availability::Available);
         if before == Availability::Unavailable {
             info!(self.gateway.log, "registry_sync: registry is available again";
-                "revision" => update.revision);
+                "revision" => update.revision.number, "era" => update.revision.era);
         }
         let is_full = self.revision.is_none();
-        info!(self.gateway.log, "registry_sync: update received"; "revision" => update.revision,
+        info!(self.gateway.log, "registry_sync: update received"; "revision" => update.revision.number,
+            "era" => update.revision.era,
             "before" => self.revision, "entries" => update.entries.len());
         let is_changed = self.apply_entries(update, is_full).await;
         if is_changed && !is_full {
@@ -308,10 +309,10 @@
             .filter(|_| !is_full)
             .map(|before| ChangeBatch {
                 before,
-                revision: update.revision,
+                revision: update.revision.number,
                 entries: Arc::new(EncodedEntries::new(update.entries.clone())),
             });
-        self.revision = Some(update.revision);
+        self.revision = Some(update.revision.number);
         let gateway = &self.gateway;
         let is_changed = self
             .registry_view
@@ -386,7 +387,10 @@
                 self.registry_view.set_reported_peers(&copy.peers);
                 let update = RegistryUpdate {
                     entries: copy.entries.get().to_vec(),
-                    revision: copy.revision,
+                    revision: Revision {
+                        era: 0,
+                        number: copy.revision,
+                    },
                 };
                 self.apply_entries(update, true).await;
             }
--- a/src/gateway/registry_sync/host_source.rs
+++ b/src/gateway/registry_sync/host_source.rs
@@ -5,6 +5,7 @@
     crate::{
         clock::{Millis, millis},
         policy::sync_source::{self, Source},
+        state::revision::Revision,
         transport::{
             fleet::{self, SyncUpdate, UpdateStream},
             registry::{Registry, RegistryUpdate},
@@ -106,7 +107,10 @@
         self.registry_view.close_idle_connections(Instant::now());
         let received = RegistryUpdate {
             entries: update.entries,
-            revision: update.revision,
+            revision: Revision {
+                era: 0,
+                number: update.revision,
+            },
         };
         self.apply_entries(received, update.is_full).await;
     }
--- a/src/gateway/registry_view.rs
+++ b/src/gateway/registry_view.rs
@@ -98,7 +98,7 @@
                 None => self.entries.remove(&entry.key),
             };
         }
-        self.revision = update.revision;
+        self.revision = update.revision.number;
     }
 
     /// Returns the registry revision of this copy; 0 before the first update.
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,7 @@
 pub mod rate_allocator;
 pub mod rejections;
 pub mod relative_latency;
+pub mod revision;
 pub mod roster;
 pub mod routes;
 pub mod versions;
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -5,6 +5,7 @@
     crate::{
         collections::Name,
         state::{
+            revision::Revision,
             roster::{Member, RosterChange},
             routes::RouteTable,
         },
@@ -28,7 +29,7 @@
     /// The entries, in the order of their changes.
     pub entries: Vec<Entry>,
     /// Revision up to which no change is missing.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Decoded entries.
