Grant equal parts of a rate limit while its allocator settles

What callers saw: nothing measured. Found while looking for the cause of failed requests after the loss of a domain beside limits on 14 of 20 shards.

Cause: an allocator that had just started only renewed the shares that hosts held. Hosts that started with it held none, and got nothing of the limit for 3 s. Such a host now gets an equal part. Others hold no more than the limit, and the new hosts' parts add less than a whole limit for the 3 s, so a window of 4 s stays within one and a half times the limit.

Evidence: hosts_that_restart_with_their_allocator_get_a_share_at_once fails before (0/s a second after the restart).

--- a/src/state/rate_allocator.rs
+++ b/src/state/rate_allocator.rs
@@ -105,9 +105,17 @@
                 ..Share::default()
             };
         }
-        let rate = leaf.grant(host, claim, limit, authority, now);
         #[expect(clippy::cast_precision_loss, reason = "numbers of hosts are small")]
-        let fallback = rate.min(limit / hosts.max(1) as f64);
+        let equal_part = limit / hosts.max(1) as f64;
+        let rate = match leaf.grant(host, claim, limit, authority, now) {
+            // Another allocator has granted no more than the limit to the hosts that were here
+            // before, so hosts that are new or restarted add their equal parts at most.
+            rate if authority == Authority::Unsettled => {
+                rate.max(equal_part.min(limit - leaf.reserved_by_others(host, now)))
+            }
+            rate => rate,
+        };
+        let fallback = rate.min(equal_part);
         let granted = GrantedClaim {
             demand: claim.demand,
             rate,
@@ -131,6 +139,12 @@
         self.claimed_at.is_some_and(is_recent)
     }
 
+    /// Returns the requests per second that hosts other than `host` may still send.
+    fn reserved_by_others(&self, host: &Name, now: Instant) -> f64 {
+        let others = self.claims.iter().filter(|(name, _)| *name != host);
+        others.map(|(_, claim)| claim.reserved(now)).sum()
+    }
+
     fn grant(
         &self,
         host: &Name,
@@ -139,14 +153,11 @@
         authority: Authority,
         now: Instant,
     ) -> f64 {
-        let others = self.claims.iter().filter(|(name, _)| *name != host);
-        let (mut reserved, mut demand) = (0.0, claim.demand);
-        for (_, other) in others {
-            reserved += other.reserved(now);
-            if now.saturating_duration_since(other.claimed_at) < DEMAND_TTL {
-                demand += other.demand;
-            }
-        }
+        let reserved = self.reserved_by_others(host, now);
+        let others = self.claims.iter().filter(|(name, claim)| {
+            *name != host && now.saturating_duration_since(claim.claimed_at) < DEMAND_TTL
+        });
+        let demand = claim.demand + others.map(|(_, claim)| claim.demand).sum::<f64>();
         let most_shares = (limit / MIN_SHARE).floor().clamp(1.0, MAX_SHARES);
         let least = limit / most_shares;
         let wanted = (limit * claim.demand / demand).max(least);
--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -238,6 +238,31 @@
     assert!((0.8..=1.1).contains(&used), "{used} used");
 }
 
+/// A domain that lost power: its hosts, among them the allocator, start again at the same time.
+#[test]
+fn hosts_that_restart_with_their_allocator_get_a_share_at_once() {
+    let mut fleet = Fleet::new(9, 20.0);
+    fleet.want(5);
+    fleet.run(Duration::from_secs(10));
+    let allocator = fleet.allocator_of(0);
+    let restarted = [allocator, (allocator + 1) % 9, (allocator + 2) % 9];
+    for index in restarted {
+        fleet.restart(index);
+    }
+
+    fleet.run(Duration::from_secs(1));
+
+    for index in restarted {
+        let rate = fleet.hosts[index].share.rate(fleet.now);
+        assert!(
+            rate >= 20.0 / 9.0 * 0.9,
+            "{rate}/s a second after the restart"
+        );
+    }
+    fleet.run(Duration::from_secs(8));
+    fleet.assert_within_limit();
+}
+
 #[test]
 fn share_moves_to_the_hosts_that_want_it() {
     let mut fleet = Fleet::new(6, 20.0);
