Compare registry revisions and leases within the era that gave them out

What callers saw: 404 for routes in force, on fleets of 65 hosts and more, for as long as the host's revision was not overtaken by enough others. Hosts missed leaves and domains in the same way.

Cause: a registry restored from an older copy gives out revisions again, and hosts compared them across the restore: a follower ignored what its source received under a revision that it had; a host that was turned away meanwhile watched on from a revision that was another's; a host renewed a lease whose id was another host's, and lost its entry. Class: an order of numbers that another party gives out is used beyond the life of that party's memory.

Change: a revision is an era and a number, ordered by the era first (state/revision.rs), on the wire between hosts as well. Changes continue a copy only within an era; otherwise everything is read again, not from a stale read. A lease is valid in its era: after a restore a host goes on with the lease that its entry in the copy names, or registers anew, spread over 0.8 s. What an older copy lacks (leaves, hosts, domains out of service) is removed only after the suspect period. An entry older than the known one of the same start of its leaf is ignored by its sequence number, a leaf that has announced its stop stays so, and an ended leaf that is in the copy again is used only if its entry stays for 5 s. Route versions, which the operator gives out, never went back and still don't.

The roster and the registry copy have tests without processes.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -18,7 +18,7 @@
     std::{net::SocketAddr, sync::Arc},
     tokio::{
         net::{TcpListener, TcpSocket},
-        sync::oneshot,
+        sync::watch,
         task::JoinHandle,
         time::{Instant, sleep_until, timeout_at},
     },
@@ -85,9 +85,9 @@
         if let Some(peers) = peers {
             tokio::spawn(serve_peers(peers, Arc::clone(&gateway), tasks_stop.clone()));
         }
-        let (lease_sender, previous_lease) = oneshot::channel();
+        let (entry_sender, own_entry) = watch::channel(None);
         let registry_sync =
-            RegistrySync::new(Arc::clone(&gateway), Arc::clone(&registry), lease_sender);
+            RegistrySync::new(Arc::clone(&gateway), Arc::clone(&registry), entry_sender);
         tokio::spawn(registry_sync.run(tasks_stop.clone()));
         tokio::spawn(limits::claim_shares(
             Arc::clone(&gateway),
@@ -96,7 +96,7 @@
         let registration = tokio::spawn(registration::keep_registered(
             Arc::clone(&gateway),
             registry,
-            previous_lease,
+            own_entry,
             callers_stop.clone(),
         ));
         let callers = tokio::spawn(listener::callers(
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -5,13 +5,13 @@
     crate::{
         clock::Millis,
         policy::sync_source,
-        state::roster::Member,
-        transport::registry::{LeaseId, Registry, RegistryError},
+        state::{revision::Lease, roster::Member},
+        transport::registry::{Registry, RegistryError},
     },
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
     tokio::{
-        sync::oneshot,
+        sync::watch,
         time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
@@ -32,11 +32,25 @@
 /// Time between renewals of a host that syncs from another: they only keep its entry.
 const FOLLOWER_RENEWAL_INTERVAL: Duration = Duration::from_secs(6);
 
+/// Largest delay of the registration after the registry was restored: other hosts treat
+/// missing entries as removed 2.3 seconds after the restore.
+const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(800);
+
 /// Time for which a starting host waits for the lease of an earlier process.
 const PREVIOUS_LEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Keeps this host registered until `stop`. `previous_lease` delivers the lease of an
-/// earlier process of this host, if its entry still exists.
+/// What a new copy of the registry has of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnEntry {
+    /// Era of the registry.
+    pub era: u64,
+    /// Lease of this host's entry; `None` without an entry that can be kept.
+    pub lease: Option<Lease>,
+}
+
+/// Keeps this host registered until `stop`. `own_entry` delivers the lease of an earlier
+/// process of this host, if its entry still exists, and later what a restored registry has
+/// of this host.
 ///
 /// A stop leaves the entry in place until its lease ends. Most hosts start again before
 /// that and then keep the lease with one call; other hosts notice that this one has ended
@@ -44,7 +58,7 @@
 pub async fn keep_registered<R: Registry>(
     gateway: Arc<Gateway>,
     registry: Arc<R>,
-    previous_lease: oneshot::Receiver<LeaseId>,
+    mut own_entry: watch::Receiver<Option<OwnEntry>>,
     stop: CancellationToken,
 ) {
     let settings = &gateway.settings;
@@ -55,12 +69,13 @@
         millicores: settings.millicores,
         lease: 0,
     };
-    let previous_lease = timeout(PREVIOUS_LEASE_TIMEOUT, previous_lease).await;
-    let mut lease: Option<LeaseId> = previous_lease.ok().and_then(Result::ok);
+    // Without a copy of the registry in time, the host registers anew.
+    let _ = timeout(PREVIOUS_LEASE_TIMEOUT, own_entry.changed()).await;
+    let mut lease = own_entry.borrow_and_update().and_then(|entry| entry.lease);
     let mut failures = 0;
     while !stop.is_cancelled() {
         let started = Millis::now();
-        let delay = match renew_or_register(&*registry, &member, lease).await {
+        let delay = match renew_or_register(&gateway, &*registry, &member, lease).await {
             Ok(current) => {
                 lease = Some(current);
                 gateway.registry_copy.record_contact(started);
@@ -92,6 +107,15 @@
             // its followers: the next one is made at once.
             () = gateway.registry_resumed.notified() => {}
             () = gateway.registry_copy.wait_for_follower() => {}
+            Ok(()) = own_entry.changed() => {
+                let found = *own_entry.borrow_and_update();
+                // A lease that this host got since the restore may not be in the copy.
+                if let Some(found) = found && !lease.is_some_and(|lease| lease.is_valid_in(found.era)) {
+                    lease = found.lease;
+                    // The registry limits the rate at which all hosts write.
+                    sleep(MAX_REGISTRATION_DELAY.mul_f64(rand::random())).await;
+                }
+            }
             () = sleep(delay) => {}
         }
     }
@@ -99,12 +123,23 @@
 
 /// Renews `lease`, or writes the entry under a new lease without one.
 async fn renew_or_register<R: Registry>(
+    gateway: &Gateway,
     registry: &R,
     member: &Member,
-    lease: Option<LeaseId>,
-) -> Result<LeaseId, RegistryError> {
+    lease: Option<Lease>,
+) -> Result<Lease, RegistryError> {
     match lease {
-        Some(lease) => registry.renew(lease).await.map(|()| lease),
+        Some(lease) => {
+            let era = registry.renew(lease).await?;
+            if lease.is_valid_in(era) {
+                return Ok(lease);
+            }
+            // The watch may be one of before the restore, which returns nothing more.
+            if gateway.registry_copy.get().revision.era < era {
+                gateway.renewal_changed.notify_one();
+            }
+            Err(RegistryError::LeaseExpired)
+        }
         None => registry.register(member, LEASE_TTL).await,
     }
 }
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -5,16 +5,14 @@
 //! unavailable, other hosts are queried as well, since one of them may have a newer copy.
 
 use {
-    super::{Gateway, registry_view::RegistryView},
+    super::{Gateway, registration::OwnEntry, registry_view::RegistryView},
     crate::{
         clock::{Millis, millis},
         policy::sync_source::{self, Source, SourceBackoff},
-        state::{revision::Revision, roster::Member},
+        state::revision::{Lease, Revision},
         transport::{
             fleet::{self, ChangeBatch, EncodedEntries, SyncStatus, SyncUpdate},
-            registry::{
-                DecodedEntries, LeaseId, ReadConsistency, Registry, RegistryError, RegistryUpdate,
-            },
+            registry::{DecodedEntries, ReadConsistency, Registry, RegistryError, RegistryUpdate},
         },
     },
     rand::seq::IndexedRandom,
@@ -23,7 +21,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::sleep},
+    tokio::{sync::watch, time::sleep},
     tokio_util::sync::CancellationToken,
 };
 
@@ -70,7 +68,7 @@
     /// This host's copy of the registry.
     registry_view: RegistryView,
     /// Revision up to which the copy is complete; `None` when a full read is due.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// Consistency of the next full read.
     consistency: ReadConsistency,
     availability: Availability,
@@ -79,8 +77,9 @@
     /// When a host that syncs from another host may call the registry again.
     probe_due: Millis,
     backoff: SourceBackoff,
-    /// Sends the lease of an earlier process of this host to the registration task.
-    previous_lease: Option<oneshot::Sender<LeaseId>>,
+    /// Tells the registration task about this host's own entry, at the start and after each
+    /// restore of the registry.
+    own_entry: watch::Sender<Option<OwnEntry>>,
 }
 
 /// Whether the registry answers this host.
@@ -96,14 +95,13 @@
 }
 
 impl<R: Registry> RegistrySync<R> {
-    /// Returns a sync task with an empty copy. If the first update has an entry of this host
-    /// with the present settings, `previous_lease` receives the lease of that entry: an
-    /// earlier process wrote it.
+    /// Returns a sync task with an empty copy. `own_entry` receives what the first update, and
+    /// the first one after each restore of the registry, has of this host.
     #[must_use]
     pub fn new(
         gateway: Arc<Gateway>,
         registry: Arc<R>,
-        previous_lease: oneshot::Sender<LeaseId>,
+        own_entry: watch::Sender<Option<OwnEntry>>,
     ) -> Self {
         Self {
             gateway,
@@ -115,7 +113,7 @@
             failures: 0,
             probe_due: Millis::default(),
             backoff: SourceBackoff::default(),
-            previous_lease: Some(previous_lease),
+            own_entry,
         }
     }
 
@@ -124,10 +122,10 @@
         while !stop.is_cancelled() {
             match self.choose_source() {
                 Source::Registry => {
-                    if self.registry_view.revision() == 0 {
+                    if self.registry_view.revision().is_initial() {
                         self.sync_from_seed(&stop).await;
                     }
-                    if self.registry_view.revision() == 0
+                    if self.registry_view.revision().is_initial()
                         || self.choose_source() == Source::Registry
                     {
                         self.sync_from_registry(&stop).await;
@@ -187,7 +185,7 @@
         };
         let SyncStatus { age, suspect_left } = copy.sync_status;
         info!(self.gateway.log, "registry_sync: received a copy of the registry from another host";
-            "peer" => %source, "revision" => copy.revision, "before" => self.revision,
+            "peer" => %source, "revision" => %copy.revision, "before" => self.revision.map(|revision| revision.to_string()),
             "entries" => copy.entries.get().len(), "age_ms" => millis(age));
         if sync_source::is_recent(age) {
             self.apply_host_update(SyncUpdate {
@@ -201,13 +199,13 @@
     }
 
     /// Makes one call to the registry and applies its result, then waits for the delay
-    /// before the next. Applies due removals instead if they are due first.
+    /// before the next. Applies deferred changes instead if they are due first.
     async fn sync_from_registry(&mut self, stop: &CancellationToken) {
         let due = self.registry_view.roster.next_due();
         let result = tokio::select! {
             () = stop.cancelled() => return,
             () = wait_until(due) => {
-                self.apply_due_removals();
+                self.apply_due_changes();
                 return;
             }
             result = self.call_registry() => result,
@@ -269,12 +267,14 @@
         let before = std::mem::replace(&mut self.availability, Availability::Available);
         if before == Availability::Unavailable {
             info!(self.gateway.log, "registry_sync: registry is available again";
-                "revision" => update.revision.number, "era" => update.revision.era);
+                "revision" => %update.revision);
         }
         let is_full = self.revision.is_none();
-        info!(self.gateway.log, "registry_sync: update received"; "revision" => update.revision.number,
-            "era" => update.revision.era,
-            "before" => self.revision, "entries" => update.entries.len());
+        if let Some(delay) = self.discard_of_other_era(update.revision) {
+            return delay;
+        }
+        info!(self.gateway.log, "registry_sync: update received"; "revision" => %update.revision,
+            "before" => self.revision.map(|revision| revision.to_string()), "entries" => update.entries.len());
         let is_changed = self.apply_entries(update, is_full).await;
         if is_changed && !is_full {
             self.gateway
@@ -286,10 +286,46 @@
         }
     }
 
-    /// Applies the deferred removals that are due.
-    fn apply_due_removals(&mut self) {
+    /// Discards an update of the registry that doesn't continue this host's copy, since the
+    /// registry was restored from an older one; returns the delay before the next call.
+    fn discard_of_other_era(&mut self, received: Revision) -> Option<Duration> {
+        let known = self.registry_view.revision();
+        let delay = match self.revision {
+            // Changes under the same revisions as before are missing from the update.
+            Some(revision) if !received.continues(revision) => Duration::ZERO,
+            // A read that may be stale is from before the restore.
+            None if received.era < known.era => RETRY_DELAY,
+            _ => return None,
+        };
+        info!(self.gateway.log, "registry_sync: registry was restored from an older copy; reading all entries";
+            "revision" => %received, "before" => %known);
+        self.consistency = ReadConsistency::Current;
+        self.revision = None;
+        Some(delay)
+    }
+
+    /// Returns whether an update to `received` is the first one, or the first one after a
+    /// restore of the registry.
+    fn is_first_of_era(&self, received: Revision) -> bool {
+        let known = self.registry_view.revision();
+        known.is_initial() || !received.continues(known)
+    }
+
+    /// Returns the lease that this host's entry in the copy names, if it has the present
+    /// settings: an earlier process wrote it, or this one did before a restore.
+    fn find_own_lease(&self, era: u64) -> Option<Lease> {
+        let settings = &self.gateway.settings;
+        let own = self.registry_view.roster.member(&settings.id)?;
+        let is_same = (Some(own.address), &own.domain, own.millicores)
+            == (settings.peer_address, &settings.domain, settings.millicores);
+        (is_same && own.lease > 0).then_some(Lease { id: own.lease, era })
+    }
+
+    /// Applies the deferred changes that are due.
+    fn apply_due_changes(&mut self) {
         let now = Millis::now();
-        if self.registry_view.roster.apply_due_removals(now).leaves {
+        let changed = self.registry_view.roster.apply_due_changes(now);
+        if changed.leaves || changed.members {
             self.gateway
                 .publish_view(self.registry_view.build_view(&self.gateway, now));
         }
@@ -304,31 +340,32 @@
             tokio::task::yield_now().await;
         }
         let now = Millis::now();
+        let is_first_of_era = self.is_first_of_era(update.revision);
+        if is_first_of_era && !self.registry_view.revision().is_initial() {
+            // Entries may be missing until they are written again.
+            self.registry_view.roster.record_outage(now);
+            self.gateway
+                .registry_copy
+                .record_suspect_period(self.registry_view.roster.suspect_until());
+        }
         let batch = self
             .revision
             .filter(|_| !is_full)
             .map(|before| ChangeBatch {
                 before,
-                revision: update.revision.number,
+                revision: update.revision,
                 entries: Arc::new(EncodedEntries::new(update.entries.clone())),
             });
-        self.revision = Some(update.revision.number);
+        self.revision = Some(update.revision);
         let gateway = &self.gateway;
         let is_changed = self
             .registry_view
             .apply_changes(gateway, changes, is_full, now);
-        let own = self.registry_view.roster.member(&gateway.settings.id);
-        let settings = &gateway.settings;
-        let is_same = |member: &&Member| {
-            (Some(member.address), &member.domain, member.millicores)
-                == (settings.peer_address, &settings.domain, settings.millicores)
-        };
-        let own = own.filter(is_same).map(|own| LeaseId(own.lease));
-        if let Some(previous_lease) = self.previous_lease.take()
-            && let Some(lease) = own.filter(|lease| lease.0 > 0)
-        {
-            // The registration task may have stopped waiting.
-            let _ = previous_lease.send(lease);
+        if is_first_of_era {
+            self.own_entry.send_replace(Some(OwnEntry {
+                era: update.revision.era,
+                lease: self.find_own_lease(update.revision.era),
+            }));
         }
         self.registry_view.store_entries(update, is_full);
         if is_changed {
@@ -348,7 +385,7 @@
             .record_suspect_period(self.registry_view.roster.suspect_until());
         if *error == RegistryError::Compacted {
             info!(self.gateway.log, "registry_sync: registry history is gone; reading all entries";
-                "after" => self.revision);
+                "after" => self.revision.map(|revision| revision.to_string()));
             // A read that may be stale could return a revision from before the gap again.
             self.consistency = ReadConsistency::Current;
             self.revision = None;
@@ -357,7 +394,7 @@
         let before = std::mem::replace(&mut self.availability, Availability::Unavailable);
         if before != Availability::Unavailable {
             warn!(self.gateway.log, "registry_sync: registry is unavailable"; "error" => %error,
-                "revision" => self.revision);
+                "revision" => self.revision.map(|revision| revision.to_string()));
         }
         self.failures += 1;
         self.sync_from_peer().await;
@@ -381,16 +418,13 @@
         match fleet::fetch_state(*peer, revision, Duration::ZERO, own).await {
             Ok(copy) if copy.revision > revision => {
                 info!(self.gateway.log, "registry_sync: received a copy of the registry from another host";
-                    "peer" => %peer, "revision" => copy.revision, "before" => revision,
+                    "peer" => %peer, "revision" => %copy.revision, "before" => %revision,
                     "entries" => copy.entries.get().len());
                 self.gateway.record_sync(Millis::now());
                 self.registry_view.set_reported_peers(&copy.peers);
                 let update = RegistryUpdate {
                     entries: copy.entries.get().to_vec(),
-                    revision: Revision {
-                        era: 0,
-                        number: copy.revision,
-                    },
+                    revision: copy.revision,
                 };
                 self.apply_entries(update, true).await;
             }
--- a/src/gateway/registry_sync/host_source.rs
+++ b/src/gateway/registry_sync/host_source.rs
@@ -5,7 +5,6 @@
     crate::{
         clock::{Millis, millis},
         policy::sync_source::{self, Source},
-        state::revision::Revision,
         transport::{
             fleet::{self, SyncUpdate, UpdateStream},
             registry::{Registry, RegistryUpdate},
@@ -29,7 +28,7 @@
             Err(status) => return self.back_off_source(source, status.message()),
         };
         info!(self.gateway.log, "registry_sync: syncing from another host"; "source" => %source,
-            "revision" => self.revision);
+            "revision" => self.revision.map(|revision| revision.to_string()));
         let started = Millis::now();
         self.availability = Availability::Unknown;
         while !stop.is_cancelled() && self.choose_source() == Source::Host(source) {
@@ -37,7 +36,7 @@
             let update = tokio::select! {
                 () = stop.cancelled() => return,
                 () = wait_until(due) => {
-                    self.apply_due_removals();
+                    self.apply_due_changes();
                     continue;
                 }
                 // Failed renewals matter only while this host syncs from the registry.
@@ -48,6 +47,10 @@
                 Ok(update) => update,
                 Err(reason) => return self.back_off_source(source, &reason),
             };
+            let known = self.registry_view.revision();
+            if !update.is_full && update.revision > known && !update.revision.continues(known) {
+                return self.back_off_source(source, "its changes are of another era");
+            }
             let age = update.sync_status.age;
             let is_stale = sync_source::is_stale(age, Millis::now().since(started));
             self.apply_host_update(update).await;
@@ -101,16 +104,13 @@
         if is_older || (update.entries.is_empty() && !update.is_full) {
             return;
         }
-        info!(self.gateway.log, "registry_sync: update received"; "revision" => update.revision,
-            "before" => self.revision, "entries" => update.entries.len(),
+        info!(self.gateway.log, "registry_sync: update received"; "revision" => %update.revision,
+            "before" => self.revision.map(|revision| revision.to_string()), "entries" => update.entries.len(),
             "age_ms" => millis(update.sync_status.age));
         self.registry_view.close_idle_connections(Instant::now());
         let received = RegistryUpdate {
             entries: update.entries,
-            revision: Revision {
-                era: 0,
-                number: update.revision,
-            },
+            revision: update.revision,
         };
         self.apply_entries(received, update.is_full).await;
     }
@@ -118,7 +118,7 @@
     /// Backs off from `source` after it stopped sending or fell behind.
     fn back_off_source(&mut self, source: SocketAddr, reason: &str) {
         info!(self.gateway.log, "registry_sync: stopped syncing from another host"; "source" => %source,
-            "reason" => reason, "revision" => self.revision);
+            "reason" => reason, "revision" => self.revision.map(|revision| revision.to_string()));
         self.backoff.record_failure(source, Millis::now());
     }
 }
--- a/src/gateway/registry_view.rs
+++ b/src/gateway/registry_view.rs
@@ -16,6 +16,7 @@
         state::{
             fleet_budget::{BudgetShare, HostBudget},
             host_count::HostCount,
+            revision::Revision,
             roster::{ChangedParts, Roster},
             routes::{Destination, RouteTable},
         },
@@ -53,7 +54,7 @@
     helpers: Arc<HelperPool>,
     /// Undecoded entries, for other hosts.
     entries: Map<Name, Bytes>,
-    revision: u64,
+    revision: Revision,
     /// Addresses of entry hosts that another host reported.
     reported_peers: Vec<SocketAddr>,
 }
@@ -71,7 +72,7 @@
         for entry in &changes.unreadable {
             info!(gateway.log, "registry_sync: entry can't be decoded"; "entry" => entry);
         }
-        let due = self.roster.apply_due_removals(now);
+        let due = self.roster.apply_due_changes(now);
         let received = if is_full {
             self.roster.apply_copy(changes.roster_changes, now)
         } else {
@@ -98,12 +99,12 @@
                 None => self.entries.remove(&entry.key),
             };
         }
-        self.revision = update.revision.number;
+        self.revision = update.revision;
     }
 
-    /// Returns the registry revision of this copy; 0 before the first update.
+    /// Returns the registry revision of this copy; the initial one before the first update.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -1,9 +1,14 @@
 //! Roster: this host's copy of the leaves, the failure domains out of service and the entry
 //! hosts in the registry.
 //!
-//! A registry that was unavailable drops the entries of leaves that could not renew their
-//! leases, and the leaves write them again soon after. Such removals are applied
-//! only after [`SUSPECT_PERIOD`]; all others immediately.
+//! A registry that was unavailable drops the entries of leaves and hosts that could not renew
+//! their leases, and one that was restored from an older copy lacks what was written since.
+//! Both are written again soon after. Such removals are applied only after
+//! [`SUSPECT_PERIOD`]; all others immediately.
+//!
+//! An older copy also holds entries as they were: a leaf that has announced its stop is ready
+//! in it, one that has ended is there. So an entry is compared with what is known of the same
+//! start of its leaf, by the number that the leaf gives its entries.
 
 use {
     crate::{
@@ -18,6 +23,14 @@
 /// to this host.
 pub const SUSPECT_PERIOD: Duration = Duration::from_millis(2_300);
 
+/// Time for which an entry from an older copy of a leaf that had ended is not used: the
+/// registry removes it within three check-in intervals if the leaf has indeed ended.
+const RETURN_DELAY: Duration = Duration::from_secs(5);
+
+/// Time for which leaves that have ended are remembered; copies that the registry is restored
+/// from are some seconds old.
+const ENDED_TTL: Duration = Duration::from_mins(1);
+
 /// A leaf as its registry entry describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leaf {
@@ -37,9 +50,26 @@
     pub warmup_left: Duration,
     /// Start of the process, Unix milliseconds; distinguishes starts under the same id.
     pub started_ms: u64,
+    /// Number of the entry among those of this start; `None` when it has none.
+    pub sequence: Option<u64>,
 }
 
 impl Leaf {
+    /// Returns whether this entry is older than `other`, one of the same start of the leaf.
+    #[must_use]
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        self.sequence.is_some() && self.sequence < other.sequence && self.is_same_start(other)
+    }
+
+    /// Returns whether both entries say the same; their sequence numbers may differ.
+    fn is_same_entry(&self, other: &Self) -> bool {
+        let other = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == other
+    }
+
     /// Returns whether both are the same start of the same leaf.
     #[must_use]
     pub fn is_same_start(&self, other: &Self) -> bool {
@@ -116,6 +146,13 @@
     members: Map<Name, Member>,
     /// Leaves whose removal is deferred, each with the time at which it is due.
     deferred_removals: Map<Name, Millis>,
+    /// The same of entry hosts and of domains out of service.
+    deferred_changes: Vec<(RosterChange, Millis)>,
+    /// Leaves that have ended, as last known, each with the time at which it ended.
+    ended: Map<Name, (Leaf, Millis)>,
+    /// Entries of such leaves in a restored registry, each with the time from which the leaf
+    /// is used after all.
+    deferred_returns: Map<Name, (Leaf, Millis)>,
     /// End of the suspect period, in which an outage of the registry may be the cause of
     /// removals.
     suspect_until: Millis,
@@ -134,6 +171,9 @@
         for due_at in self.deferred_removals.values_mut() {
             *due_at = self.suspect_until;
         }
+        for (_, due_at) in &mut self.deferred_changes {
+            *due_at = self.suspect_until;
+        }
     }
 
     /// Returns the end of the suspect period.
@@ -145,15 +185,10 @@
     /// Applies one change; a removal in the suspect period is deferred.
     pub fn apply_change(&mut self, change: RosterChange, now: Millis) -> ChangedParts {
         match change {
-            RosterChange::Leaf(leaf) => {
-                self.deferred_removals.remove(&leaf.id);
-                let known = self.leaves.get(&leaf.id);
-                let is_same = known.is_some_and(|known| *known == leaf);
-                self.leaves.insert(leaf.id.clone(), leaf);
-                ChangedParts::leaves(!is_same)
-            }
+            RosterChange::Leaf(leaf) => self.add_leaf(leaf),
             RosterChange::LeafGone(id) => self.remove_leaf(id, now),
             RosterChange::DomainOut(domain) => {
+                self.cancel_deferred(&RosterChange::DomainIn(domain.clone()));
                 ChangedParts::leaves(self.domains_out.insert(domain))
             }
             RosterChange::DomainIn(domain) => {
@@ -161,8 +196,13 @@
             }
             RosterChange::Member(member) => {
                 let id = member.id.clone();
+                self.cancel_deferred(&RosterChange::MemberGone(id.clone()));
                 ChangedParts::members(self.members.insert(id, member.clone()) != Some(member))
             }
+            RosterChange::MemberGone(_) if now < self.suspect_until => {
+                self.defer(change);
+                ChangedParts::default()
+            }
             RosterChange::MemberGone(id) => {
                 ChangedParts::members(self.members.remove(&id).is_some())
             }
@@ -207,29 +247,51 @@
                 .map(RosterChange::MemberGone),
         );
         for change in removals.into_iter().chain(all) {
+            let change = match change {
+                RosterChange::DomainIn(_) if now < self.suspect_until => {
+                    self.defer(change);
+                    continue;
+                }
+                RosterChange::Leaf(leaf) if self.is_return(&leaf, now) => {
+                    let due_at = now.plus(RETURN_DELAY);
+                    self.deferred_returns
+                        .insert(leaf.id.clone(), (leaf, due_at));
+                    continue;
+                }
+                change => change,
+            };
             changed = changed.union(self.apply_change(change, now));
         }
         changed
     }
 
-    /// Applies the deferred removals that are due.
-    pub fn apply_due_removals(&mut self, now: Millis) -> ChangedParts {
-        let leaves = &mut self.leaves;
-        let before = leaves.len();
-        self.deferred_removals.retain(|id, due_at| {
-            let is_due = now >= *due_at;
-            if is_due {
-                leaves.remove(id);
-            }
-            !is_due
-        });
-        ChangedParts::leaves(leaves.len() != before)
+    /// Applies the deferred changes that are due.
+    pub fn apply_due_changes(&mut self, now: Millis) -> ChangedParts {
+        let removals = self
+            .deferred_removals
+            .extract_if(|_, due_at| now >= *due_at)
+            .map(|(id, _)| RosterChange::LeafGone(id));
+        let changes = self
+            .deferred_changes
+            .extract_if(.., |(_, due_at)| now >= *due_at)
+            .map(|(change, _)| change);
+        let returns = self
+            .deferred_returns
+            .extract_if(|_, (_, due_at)| now >= *due_at)
+            .map(|(_, (leaf, _))| RosterChange::Leaf(leaf));
+        let due: Vec<RosterChange> = removals.chain(changes).chain(returns).collect();
+        due.into_iter()
+            .map(|change| self.apply_change(change, now))
+            .fold(ChangedParts::default(), ChangedParts::union)
     }
 
-    /// Returns when the next deferred removal is due.
+    /// Returns when the next deferred change is due.
     #[must_use]
     pub fn next_due(&self) -> Option<Millis> {
-        self.deferred_removals.values().min().copied()
+        let removals = self.deferred_removals.values().copied();
+        let changes = self.deferred_changes.iter().map(|(_, due_at)| *due_at);
+        let returns = self.deferred_returns.values().map(|(_, due_at)| *due_at);
+        removals.chain(changes).chain(returns).min()
     }
 
     /// Returns the leaves that may get new requests.
@@ -263,7 +325,46 @@
         leaves.chain(domains_out).chain(members).collect()
     }
 
+    fn add_leaf(&mut self, mut leaf: Leaf) -> ChangedParts {
+        self.deferred_removals.remove(&leaf.id);
+        self.deferred_returns.remove(&leaf.id);
+        let known = self.leaves.get(&leaf.id);
+        if known.is_some_and(|known| leaf.is_older_than(known)) {
+            return ChangedParts::default();
+        }
+        // A leaf that announced that it stops does not change its mind.
+        let is_leaving =
+            |known: &&Leaf| known.phase == Phase::Leaving && known.is_same_start(&leaf);
+        if known.as_ref().is_some_and(is_leaving) {
+            leaf.phase = Phase::Leaving;
+        }
+        let is_same = known.is_some_and(|known| known.is_same_entry(&leaf));
+        self.leaves.insert(leaf.id.clone(), leaf);
+        ChangedParts::leaves(!is_same)
+    }
+
+    /// Returns whether `leaf` had ended with an entry that was not older.
+    fn is_return(&self, leaf: &Leaf, now: Millis) -> bool {
+        self.ended.get(&leaf.id).is_some_and(|(ended, at)| {
+            now.since(*at) < ENDED_TTL
+                && ended.is_same_start(leaf)
+                && leaf.sequence <= ended.sequence
+        })
+    }
+
+    /// Defers a removal to the end of the suspect period.
+    fn defer(&mut self, removal: RosterChange) {
+        self.cancel_deferred(&removal);
+        self.deferred_changes.push((removal, self.suspect_until));
+    }
+
+    fn cancel_deferred(&mut self, removal: &RosterChange) {
+        self.deferred_changes
+            .retain(|(deferred, _)| deferred != removal);
+    }
+
     fn remove_leaf(&mut self, id: Name, now: Millis) -> ChangedParts {
+        self.deferred_returns.remove(&id);
         let Some(leaf) = self.leaves.get(&id) else {
             return ChangedParts::default();
         };
@@ -275,7 +376,10 @@
             return ChangedParts::default();
         }
         self.deferred_removals.remove(&id);
-        self.leaves.remove(&id);
+        self.ended.retain(|_, (_, at)| now.since(*at) < ENDED_TTL);
+        if let Some(leaf) = self.leaves.remove(&id) {
+            self.ended.insert(id, (leaf, now));
+        }
         ChangedParts::leaves(true)
     }
 }
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -12,6 +12,7 @@
             fleet_client::FleetClient,
             fleet_server::{Fleet, FleetServer},
         },
+        state::revision::Revision,
     },
     futures_util::{
         StreamExt,
@@ -80,7 +81,7 @@
     /// Changed entries, in the order of their changes.
     pub entries: Vec<Entry>,
     /// Revision of the source's copy with these entries applied.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the entries are a full copy and not only changes.
     pub is_full: bool,
     /// Sync status of the source.
@@ -103,7 +104,10 @@
         let update = update.ok_or_else(|| Status::unavailable("the source closed the stream"))?;
         Ok(SyncUpdate {
             entries: decode_entries(update.entries, &update.packed)?,
-            revision: update.revision,
+            revision: Revision {
+                era: update.era,
+                number: update.revision,
+            },
             is_full: update.whole,
             sync_status: SyncStatus {
                 age: Duration::from_millis(update.age_ms),
@@ -132,26 +136,28 @@
     ) -> Result<Response<SnapshotReply>, Status> {
         let request = request.into_inner();
         let wait = Duration::from_millis(request.wait_ms).min(REPLY_TIMEOUT);
-        let state = self
-            .registry_copy
-            .wait_newer_than(request.revision, wait)
-            .await;
+        let known = Revision {
+            era: request.era,
+            number: request.revision,
+        };
+        let state = self.registry_copy.wait_newer_than(known, wait).await;
         let sync_status = self.registry_copy.sync_status(Millis::now());
         let mut reply = SnapshotReply {
-            revision: state.revision,
+            revision: state.revision.number,
+            era: state.revision.era,
             peers: state.peers.iter().map(ToString::to_string).collect(),
             age_ms: millis(sync_status.age),
             doubt_ms: millis(sync_status.suspect_left),
             ..SnapshotReply::default()
         };
-        if state.revision > request.revision {
+        if state.revision > known {
             let address = request.address.parse().ok();
             match self.registry_copy.admit_full_sync(address, Millis::now()) {
                 Ok(()) => {
                     (reply.entries, reply.packed) = state.entries.encoded().clone().into_fields();
                 }
                 Err(recipients) => {
-                    reply.revision = 0;
+                    (reply.era, reply.revision) = (0, 0);
                     reply.peers = recipients.iter().map(ToString::to_string).collect();
                 }
             }
@@ -163,9 +169,13 @@
         &self,
         request: Request<FollowRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
+        let request = request.into_inner();
         let follower = FollowerStream {
             changes: self.registry_copy.subscribe(),
-            revision: request.into_inner().revision,
+            revision: Revision {
+                era: request.era,
+                number: request.revision,
+            },
             is_first: true,
             _guard: self.registry_copy.count_follower(),
             registry_copy: self.registry_copy.clone(),
@@ -203,7 +213,7 @@
     registry_copy: RegistryCopy,
     changes: watch::Receiver<()>,
     /// Revision that the follower has.
-    revision: u64,
+    revision: Revision,
     is_first: bool,
     _guard: FollowerGuard,
 }
@@ -226,7 +236,6 @@
         }
         let sync_status = self.registry_copy.sync_status(Millis::now());
         let mut update = WireUpdate {
-            revision: self.revision,
             age_ms: millis(sync_status.age),
             doubt_ms: millis(sync_status.suspect_left),
             ..WireUpdate::default()
@@ -236,17 +245,18 @@
             // Only the first batch: the later ones follow in the next updates.
             MissingChanges::Changes(batches) => {
                 if let Some(batch) = batches.first() {
-                    update.revision = batch.revision;
+                    self.revision = batch.revision;
                     (update.entries, update.packed) = batch.entries.encoded().clone().into_fields();
                 }
             }
             MissingChanges::All(state) => {
-                update.revision = state.revision;
+                self.revision = state.revision;
                 update.whole = true;
                 (update.entries, update.packed) = state.entries.encoded().clone().into_fields();
             }
         }
-        self.revision = update.revision;
+        update.revision = self.revision.number;
+        update.era = self.revision.era;
         Some(update)
     }
 }
@@ -303,19 +313,23 @@
 /// Fails when the host does not reply in time or the entries can't be decoded.
 pub async fn fetch_state(
     address: SocketAddr,
-    revision: u64,
+    revision: Revision,
     wait: Duration,
     own: Option<SocketAddr>,
 ) -> Result<RegistryState, Status> {
     let mut client = connect(endpoint(address)?.timeout(REPLY_TIMEOUT)).await?;
     let request = SnapshotRequest {
-        revision,
+        revision: revision.number,
+        era: revision.era,
         wait_ms: millis(wait),
         address: own.map(|own| own.to_string()).unwrap_or_default(),
     };
     let reply = client.snapshot(request).await?.into_inner();
     Ok(RegistryState {
-        revision: reply.revision,
+        revision: Revision {
+            era: reply.era,
+            number: reply.revision,
+        },
         entries: Arc::new(EncodedEntries::new(decode_entries(
             reply.entries,
             &reply.packed,
@@ -347,8 +361,8 @@
                 Some(recipient) => *recipient,
                 None => *seeds.choose(&mut rand::rng())?,
             };
-            match fetch_state(address, 0, INITIAL_STATE_WAIT, own).await {
-                Ok(state) if state.revision > 0 => return Some((address, state)),
+            match fetch_state(address, Revision::default(), INITIAL_STATE_WAIT, own).await {
+                Ok(state) if !state.revision.is_initial() => return Some((address, state)),
                 Ok(state) => {
                     recipients = state.peers;
                     recipients.retain(|recipient| Some(*recipient) != own);
@@ -369,9 +383,13 @@
 /// # Errors
 ///
 /// Fails when the host does not reply in time.
-pub async fn subscribe(address: SocketAddr, revision: u64) -> Result<UpdateStream, Status> {
+pub async fn subscribe(address: SocketAddr, revision: Revision) -> Result<UpdateStream, Status> {
     let mut client = connect(endpoint(address)?).await?;
-    let response = timeout(REPLY_TIMEOUT, client.follow(FollowRequest { revision })).await;
+    let request = FollowRequest {
+        revision: revision.number,
+        era: revision.era,
+    };
+    let response = timeout(REPLY_TIMEOUT, client.follow(request)).await;
     let updates =
         response.map_err(|Elapsed { .. }| Status::deadline_exceeded("no reply in time"))??;
     Ok(UpdateStream(updates.into_inner()))
--- a/src/transport/fleet/registry_copy.rs
+++ b/src/transport/fleet/registry_copy.rs
@@ -2,7 +2,7 @@
 
 use {
     super::entries::EncodedEntries,
-    crate::clock::Millis,
+    crate::{clock::Millis, state::revision::Revision},
     std::{
         collections::VecDeque,
         net::SocketAddr,
@@ -33,8 +33,8 @@
 /// The registry's entries at a revision.
 #[derive(Clone, Debug, Default)]
 pub struct RegistryState {
-    /// Revision of the registry; 0 before the first sync.
-    pub revision: u64,
+    /// Revision of the registry; the initial one before the first sync.
+    pub revision: Revision,
     /// All entries that entry hosts use.
     pub entries: Arc<EncodedEntries>,
     /// Addresses of other entry hosts.
@@ -47,9 +47,9 @@
 #[derive(Clone, Debug)]
 pub struct ChangeBatch {
     /// Revision before the changes.
-    pub before: u64,
+    pub before: Revision,
     /// Revision after the changes.
-    pub revision: u64,
+    pub revision: Revision,
     /// The changed entries, in the order of their changes.
     pub entries: Arc<EncodedEntries>,
 }
@@ -184,7 +184,7 @@
     }
 
     /// Waits up to `wait` for a state newer than `revision`; returns the current state then.
-    pub async fn wait_newer_than(&self, revision: u64, wait: Duration) -> Arc<RegistryState> {
+    pub async fn wait_newer_than(&self, revision: Revision, wait: Duration) -> Arc<RegistryState> {
         let mut changes = self.subscribe();
         let newer = async {
             while self.get().revision <= revision {
@@ -200,7 +200,7 @@
 
     /// Returns what a follower at `revision` lacks.
     #[must_use]
-    pub fn changes_since(&self, revision: u64) -> MissingChanges {
+    pub fn changes_since(&self, revision: Revision) -> MissingChanges {
         let inner = self.lock();
         if inner.state.revision <= revision {
             return MissingChanges::Nothing;
@@ -208,7 +208,7 @@
         let is_covered = inner
             .recent_batches
             .front()
-            .is_some_and(|first| first.before <= revision);
+            .is_some_and(|first| revision.continues(first.before) && first.before <= revision);
         if !is_covered {
             return MissingChanges::All(Arc::clone(&inner.state));
         }
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -5,7 +5,7 @@
     crate::{
         collections::Name,
         state::{
-            revision::Revision,
+            revision::{Lease, Revision},
             roster::{Member, RosterChange},
             routes::RouteTable,
         },
@@ -61,10 +61,6 @@
     Current,
 }
 
-/// A lease; the registry removes an entry when its lease ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
-
 /// Why a call to the registry failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RegistryError {
@@ -107,10 +103,12 @@
         call_timeout: Duration,
     ) -> impl Future<Output = Result<RegistryUpdate, RegistryError>> + Send;
 
-    /// Waits up to `wait` for changes after `revision`; returns as soon as there are any.
+    /// Waits up to `wait` for changes after `revision`; returns as soon as there are any. The
+    /// revision of the result is of another era when the registry was restored: then the
+    /// changes don't continue from `revision`.
     fn watch(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<RegistryUpdate, RegistryError>> + Send;
 
@@ -124,13 +122,14 @@
     /// Makes the cheapest call, to check whether the registry is available.
     fn probe(&self) -> impl Future<Output = Result<(), RegistryError>> + Send;
 
-    /// Registers this host: writes its entry under a new lease of `length`.
+    /// Registers this host: writes its entry under a new lease of `length`. The era of the
+    /// result is the lowest of those of the calls that this takes.
     fn register(
         &self,
         member: &Member,
         length: Duration,
-    ) -> impl Future<Output = Result<LeaseId, RegistryError>> + Send;
+    ) -> impl Future<Output = Result<Lease, RegistryError>> + Send;
 
-    /// Renews a lease.
-    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), RegistryError>> + Send;
+    /// Renews the lease with the id of `lease`; returns the era of the registry.
+    fn renew(&self, lease: Lease) -> impl Future<Output = Result<u64, RegistryError>> + Send;
 }
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -8,6 +8,7 @@
         state::{
             leaf_limit::Share,
             rate_allocator::Claim,
+            revision::Revision,
             roster::{Leaf, Member, Phase, Roster, RosterChange, SUSPECT_PERIOD},
         },
         transport::{
@@ -190,23 +191,24 @@
     }
 }
 
-fn snapshot(revision: u64) -> RegistryState {
+fn revision(number: u64) -> Revision {
+    Revision { era: 1, number }
+}
+
+fn snapshot(number: u64) -> RegistryState {
     RegistryState {
-        revision,
+        revision: revision(number),
         entries: Arc::new(EncodedEntries::new(vec![entry("a", Some("all"))])),
         peers: Vec::new(),
         sync_status: SyncStatus::default(),
     }
 }
 
-fn batch(before: u64, revision: u64) -> ChangeBatch {
+fn batch(before: u64, after: u64) -> ChangeBatch {
     ChangeBatch {
-        before,
-        revision,
-        entries: Arc::new(EncodedEntries::new(vec![entry(
-            &revision.to_string(),
-            None,
-        )])),
+        before: revision(before),
+        revision: revision(after),
+        entries: Arc::new(EncodedEntries::new(vec![entry(&after.to_string(), None)])),
     }
 }
 
@@ -218,7 +220,7 @@
             .map(|entry| entry.key.to_string())
             .collect(),
         MissingChanges::Nothing => Vec::new(),
-        MissingChanges::All(all) => vec![format!("all up to {}", all.revision)],
+        MissingChanges::All(all) => vec![format!("all up to {}", all.revision.number)],
     }
 }
 
@@ -226,15 +228,15 @@
 fn a_follower_gets_the_changes_that_it_lacks() {
     let copy = RegistryCopy::default();
     copy.replace(snapshot(10), None);
-    for (before, revision) in [(10, 12), (12, 13), (13, 20)] {
-        copy.replace(snapshot(revision), Some(batch(before, revision)));
+    for (before, after) in [(10, 12), (12, 13), (13, 20)] {
+        copy.replace(snapshot(after), Some(batch(before, after)));
     }
-    assert_eq!(keys(copy.changes_since(20)), Vec::<String>::new());
-    assert_eq!(keys(copy.changes_since(25)), Vec::<String>::new());
-    assert_eq!(keys(copy.changes_since(13)), ["20"]);
+    assert_eq!(keys(copy.changes_since(revision(20))), Vec::<String>::new());
+    assert_eq!(keys(copy.changes_since(revision(25))), Vec::<String>::new());
+    assert_eq!(keys(copy.changes_since(revision(13))), ["20"]);
     // The follower may have a part of the first batch: it gets the whole batch and all
     // later ones.
-    assert_eq!(keys(copy.changes_since(11)), ["12", "13", "20"]);
+    assert_eq!(keys(copy.changes_since(revision(11))), ["12", "13", "20"]);
 }
 
 #[test]
@@ -242,24 +244,53 @@
     let copy = RegistryCopy::default();
     copy.replace(snapshot(10), None);
     copy.replace(snapshot(12), Some(batch(10, 12)));
-    assert_eq!(keys(copy.changes_since(9)), ["all up to 12"]);
+    assert_eq!(keys(copy.changes_since(revision(9))), ["all up to 12"]);
 
     copy.replace(snapshot(30), Some(batch(28, 30)));
-    assert_eq!(keys(copy.changes_since(12)), ["all up to 30"]);
-    assert_eq!(keys(copy.changes_since(29)), ["30"]);
+    assert_eq!(keys(copy.changes_since(revision(12))), ["all up to 30"]);
+    assert_eq!(keys(copy.changes_since(revision(29))), ["30"]);
 
     copy.replace(snapshot(40), None);
-    assert_eq!(keys(copy.changes_since(30)), ["all up to 40"]);
+    assert_eq!(keys(copy.changes_since(revision(30))), ["all up to 40"]);
+}
+
+/// A restored registry gives out revisions again that a follower has from before.
+#[test]
+fn a_follower_of_another_era_gets_all_entries() {
+    let copy = RegistryCopy::default();
+    copy.replace(snapshot(10), None);
+    copy.replace(snapshot(12), Some(batch(10, 12)));
+    let restored = |number| Revision { era: 2, number };
+    let state = RegistryState {
+        revision: restored(11),
+        ..snapshot(11)
+    };
+    copy.replace(state, None);
+    assert_eq!(keys(copy.changes_since(revision(12))), ["all up to 11"]);
+
+    let state = RegistryState {
+        revision: restored(12),
+        ..snapshot(12)
+    };
+    let batch = ChangeBatch {
+        before: restored(11),
+        revision: restored(12),
+        ..batch(11, 12)
+    };
+    copy.replace(state, Some(batch));
+    assert_eq!(keys(copy.changes_since(revision(12))), ["all up to 12"]);
+    assert_eq!(keys(copy.changes_since(restored(11))), ["12"]);
+    assert_eq!(keys(copy.changes_since(restored(12))), Vec::<String>::new());
 }
 
 #[test]
 fn old_changes_are_dropped_for_new_ones() {
     let copy = RegistryCopy::default();
-    for revision in 1..=5_000 {
-        copy.replace(snapshot(revision), Some(batch(revision - 1, revision)));
+    for number in 1..=5_000 {
+        copy.replace(snapshot(number), Some(batch(number - 1, number)));
     }
-    assert_eq!(keys(copy.changes_since(0)), ["all up to 5000"]);
-    assert_eq!(keys(copy.changes_since(4_000)).len(), 1_000);
+    assert_eq!(keys(copy.changes_since(revision(0))), ["all up to 5000"]);
+    assert_eq!(keys(copy.changes_since(revision(4_000))).len(), 1_000);
 }
 
 #[test]
@@ -274,6 +305,7 @@
         phase: Phase::Serving,
         warmup_left: Duration::ZERO,
         started_ms: 1,
+        sequence: None,
     };
     roster.apply_change(RosterChange::Leaf(leaf), NOW);
 
@@ -282,7 +314,7 @@
     roster.apply_change(RosterChange::LeafGone("leaf".into()), NOW);
 
     assert_eq!(roster.usable().count(), 1, "the removal is deferred");
-    assert!(roster.apply_due_removals(until).leaves);
+    assert!(roster.apply_due_changes(until).leaves);
     assert_eq!(roster.usable().count(), 0);
 }
 
@@ -372,7 +404,7 @@
     ));
 
     // Act
-    let mut updates = fleet::subscribe(address, 0)
+    let mut updates = fleet::subscribe(address, Revision::default())
         .await
         .expect("the source responds");
     let first = updates.next().await.expect("an update");
@@ -384,7 +416,7 @@
 
     // Assert
     assert!(first.is_full);
-    assert_eq!((first.revision, first.entries.len()), (10, 1));
+    assert_eq!((first.revision, first.entries.len()), (revision(10), 1));
     assert!(first.sync_status.suspect_left > SUSPECT_PERIOD / 2);
     assert!(!second.is_full);
     assert_eq!(second.entries, [entry("12", None)]);
--- a/tests/testsuite/roster.rs
+++ b/tests/testsuite/roster.rs
@@ -3,7 +3,7 @@
 use {
     briarquay::{
         clock::Millis,
-        state::roster::{Leaf, Phase, Roster, RosterChange, SUSPECT_PERIOD},
+        state::roster::{Leaf, Member, Phase, Roster, RosterChange, SUSPECT_PERIOD},
     },
     std::time::Duration,
 };
@@ -20,6 +20,7 @@
         phase: Phase::Serving,
         warmup_left: Duration::ZERO,
         started_ms: 1_770_000_000_000,
+        sequence: None,
     }
 }
 
@@ -59,7 +60,7 @@
     );
     let due_at = roster.next_due().expect("one removal is deferred");
     assert_eq!(due_at, START.plus(SUSPECT_PERIOD));
-    assert!(roster.apply_due_removals(due_at).leaves);
+    assert!(roster.apply_due_changes(due_at).leaves);
     assert_eq!(usable(&roster), ["b"]);
     assert_eq!(roster.next_due(), None);
 }
@@ -114,3 +115,100 @@
     assert!(first.is_same_start(&first.clone()));
     assert!(!first.is_same_start(&second));
 }
+
+/// A leaf whose stop the restored registry has forgotten.
+#[test]
+fn leaving_leaf_stays_so_when_an_older_copy_has_it_ready() {
+    let mut roster = roster(&["a", "b"]);
+    let leaving = Leaf {
+        phase: Phase::Leaving,
+        ..leaf("a")
+    };
+    roster.apply_change(RosterChange::Leaf(leaving), START);
+    roster.record_outage(START);
+
+    let copy = vec![RosterChange::Leaf(leaf("a")), RosterChange::Leaf(leaf("b"))];
+    roster.apply_copy(copy, START);
+
+    assert_eq!(usable(&roster), ["b"]);
+}
+
+#[test]
+fn entry_from_before_the_one_that_is_known_is_ignored() {
+    let numbered = |sequence, slots| Leaf {
+        sequence: Some(sequence),
+        slots,
+        ..leaf("a")
+    };
+    let mut roster = Roster::default();
+    roster.apply_change(RosterChange::Leaf(numbered(7, 4)), START);
+
+    let changed = roster.apply_change(RosterChange::Leaf(numbered(5, 2)), START);
+
+    assert!(!changed.leaves);
+    assert_eq!(roster.usable().next().expect("it is known").slots, 4);
+    let restarted = Leaf {
+        started_ms: leaf("a").started_ms + 1,
+        ..numbered(1, 2)
+    };
+    assert!(
+        roster
+            .apply_change(RosterChange::Leaf(restarted), START)
+            .leaves
+    );
+}
+
+/// A leaf that ended is in the older copy; the registry removes it once it is silent.
+#[test]
+fn ended_leaf_in_an_older_copy_is_used_only_if_its_entry_stays() {
+    let mut roster = roster(&["a", "b"]);
+    roster.apply_change(RosterChange::LeafGone("a".into()), START);
+    roster.apply_change(RosterChange::LeafGone("b".into()), START);
+    roster.record_outage(START);
+    let copy = vec![RosterChange::Leaf(leaf("a")), RosterChange::Leaf(leaf("b"))];
+    roster.apply_copy(copy, START);
+    assert!(usable(&roster).is_empty());
+
+    let later = START.plus(Duration::from_secs(3));
+    roster.apply_change(RosterChange::LeafGone("a".into()), later);
+    roster.apply_due_changes(START.plus(Duration::from_secs(6)));
+
+    assert_eq!(usable(&roster), ["b"]);
+}
+
+/// What the operator wrote since the copy is written again a moment later.
+#[test]
+fn domain_out_and_hosts_that_an_older_copy_lacks_stay_until_the_suspect_period_ends() {
+    let mut roster = roster(&["a"]);
+    let host = Member {
+        id: "entry-1".into(),
+        address: ([10, 1, 0, 1], 7_000).into(),
+        domain: "xela-centro".into(),
+        millicores: 250,
+        lease: 3,
+    };
+    roster.apply_change(RosterChange::DomainOut("xela-centro".into()), START);
+    roster.apply_change(RosterChange::Member(host.clone()), START);
+    roster.record_outage(START);
+
+    roster.apply_copy(vec![RosterChange::Leaf(leaf("a"))], START);
+
+    assert!(usable(&roster).is_empty());
+    assert_eq!(roster.members().count(), 1);
+    roster.apply_change(RosterChange::Member(host), START);
+    let due = roster.apply_due_changes(START.plus(SUSPECT_PERIOD));
+    assert!(due.leaves && !due.members);
+    assert_eq!(usable(&roster), ["a"]);
+    assert_eq!(roster.members().count(), 1);
+}
+
+#[test]
+fn domain_that_operators_bring_back_is_used_at_once_after_an_outage() {
+    let mut roster = roster(&["a"]);
+    roster.apply_change(RosterChange::DomainOut("xela-centro".into()), START);
+    roster.record_outage(START);
+
+    roster.apply_change(RosterChange::DomainIn("xela-centro".into()), START);
+
+    assert_eq!(usable(&roster), ["a"]);
+}
