Resume the registry sync as soon as another call shows the registry

What callers saw: routes of before for up to a second longer than a version may take, on a host that had been cut off from the registry.

Cause: the registration task told the sync by a notification that its renewals failed or succeeded again. The sync took both for a failed call: a success cancelled the call in flight, made the host ask another host, and was followed by the longest delay, 2 s. Besides, a call while the registry was away waited a second for changes, so that 4.4 s could pass between two looks, more than a host has after a cut.

Change: the last response is a state, not a notification (policy/sync_source.rs: judge_call). A success restarts a call that may never end and ends a delay at once; a failure cancels a call as before. A call to a registry that is away waits for no change.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,7 +41,7 @@
 use {
     crate::{
         clock::Millis,
-        policy::sync_source::Source,
+        policy::sync_source::{RegistryContact, Source},
         protocol::dialect::Dialect,
         transport::{fleet::RegistryCopy, leaf::ReplyBuffers},
     },
@@ -55,7 +55,7 @@
         },
         time::Duration,
     },
-    tokio::sync::Notify,
+    tokio::sync::{Notify, watch},
 };
 
 /// State that all requests of one host share.
@@ -75,9 +75,8 @@
     pub reply_buffers: ReplyBuffers,
     /// Rate limits of leaves that this host knows of or allocates.
     pub limits: LimitSharing,
-    /// Notified when renewals of this host's lease start to fail, and when they succeed
-    /// again.
-    pub renewal_changed: Notify,
+    /// What the last renewal of this host's lease has shown about the registry.
+    pub registry_contact: watch::Sender<RegistryContact>,
     view: ArcSwap<View>,
     is_stopping: AtomicBool,
     /// Time at which the view was last known to be current, milliseconds on this process's
@@ -106,7 +105,7 @@
             registry_copy: RegistryCopy::default(),
             reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
-            renewal_changed: Notify::new(),
+            registry_contact: watch::Sender::default(),
             view: ArcSwap::default(),
             is_stopping: AtomicBool::new(false),
             synced_at: AtomicU64::new(Millis::now().0),
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -4,7 +4,7 @@
     super::Gateway,
     crate::{
         clock::Millis,
-        policy::sync_source,
+        policy::sync_source::{self, RegistryContact},
         state::{revision::Lease, roster::Member},
         transport::registry::{Registry, RegistryError},
     },
@@ -79,9 +79,8 @@
             Ok(current) => {
                 lease = Some(current);
                 gateway.registry_copy.record_contact(started);
-                if std::mem::take(&mut failures) > 0 {
-                    gateway.renewal_changed.notify_one();
-                }
+                failures = 0;
+                record_response(&gateway, current.era);
                 renewal_interval(&gateway)
             }
             Err(RegistryError::LeaseExpired) => {
@@ -95,7 +94,9 @@
             Err(error) => {
                 failures += 1;
                 if failures == 1 {
-                    gateway.renewal_changed.notify_one();
+                    gateway
+                        .registry_contact
+                        .send_modify(|contact| contact.is_lost = true);
                     warn!(gateway.log, "registration: registration or lease renewal failed"; "error" => %error);
                 }
                 sync_source::retry_delay(failures) * 2
@@ -121,6 +122,19 @@
     }
 }
 
+/// Records that a registry of `era` responded; wakes the registry sync if that is news.
+fn record_response(gateway: &Gateway, era: u64) {
+    let response = RegistryContact {
+        is_lost: false,
+        era,
+    };
+    gateway.registry_contact.send_if_modified(|contact| {
+        let is_news = *contact != response;
+        *contact = response;
+        is_news
+    });
+}
+
 /// Renews `lease`, or writes the entry under a new lease without one.
 async fn renew_or_register<R: Registry>(
     gateway: &Gateway,
@@ -134,10 +148,7 @@
             if lease.is_valid_in(era) {
                 return Ok(lease);
             }
-            // The watch may be one of before the restore, which returns nothing more.
-            if gateway.registry_copy.get().revision.era < era {
-                gateway.renewal_changed.notify_one();
-            }
+            record_response(gateway, era);
             Err(RegistryError::LeaseExpired)
         }
         None => registry.register(member, LEASE_TTL).await,
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -8,7 +8,7 @@
     super::{Gateway, registration::OwnEntry, registry_view::RegistryView},
     crate::{
         clock::{Millis, millis},
-        policy::sync_source::{self, Source, SourceBackoff},
+        policy::sync_source::{self, CallInFlight, RegistryContact, Source, SourceBackoff},
         state::revision::{Lease, Revision},
         transport::{
             fleet::{self, ChangeBatch, EncodedEntries, SyncStatus, SyncUpdate},
@@ -18,6 +18,7 @@
     rand::seq::IndexedRandom,
     slog::{info, warn},
     std::{
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -31,9 +32,10 @@
 /// open is noticed sooner, by the renewals of this host's lease.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The same while the registry is or may be unavailable: short, so that other hosts are
-/// queried between watches.
-const UNAVAILABLE_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same while the registry may be unavailable: short, so that other hosts are queried
+/// soon. While it is unavailable, a call does not wait at all: a host that was cut off must
+/// learn of a change within the seconds after the cut ends.
+const UNKNOWN_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout of each call of a full read. The registry answers in some milliseconds, and in
 /// some hundred when it is slow.
@@ -202,45 +204,69 @@
     /// before the next. Applies deferred changes instead if they are due first.
     async fn sync_from_registry(&mut self, stop: &CancellationToken) {
         let due = self.registry_view.roster.next_due();
+        let mut contacts = self.gateway.registry_contact.subscribe();
         let result = tokio::select! {
             () = stop.cancelled() => return,
             () = wait_until(due) => {
                 self.apply_due_changes();
                 return;
             }
-            result = self.call_registry() => result,
+            result = self.call_registry(&mut contacts) => result,
         };
         self.gateway.metrics.record_registry_call(result.is_ok());
         let delay = match result {
             Ok(update) => self.apply_registry_update(update).await,
             Err(error) => self.handle_failed_call(&error).await,
         };
-        sleep(delay).await;
+        tokio::select! {
+            () = sleep(delay) => {}
+            // There is nothing to wait for once the registry is available.
+            Ok(_) = contacts.wait_for(|contact| !contact.is_lost),
+                if self.availability == Availability::Unavailable && contacts.borrow().is_lost => {}
+        }
     }
 
     /// Reads the whole registry, or watches it for changes after the present revision.
-    async fn call_registry(&self) -> Result<RegistryUpdate, RegistryError> {
-        let wait = match self.availability {
-            Availability::Available => WATCH_TIMEOUT,
-            Availability::Unknown | Availability::Unavailable => UNAVAILABLE_WATCH_TIMEOUT,
-        };
-        let call = async {
-            match self.revision {
-                None => {
-                    self.registry
-                        .read_all(self.consistency, self.read_timeout())
-                        .await
+    async fn call_registry(
+        &self,
+        contacts: &mut watch::Receiver<RegistryContact>,
+    ) -> Result<RegistryUpdate, RegistryError> {
+        loop {
+            let before = *contacts.borrow_and_update();
+            let mut call = pin!(self.read_or_watch());
+            let verdict = loop {
+                tokio::select! {
+                    result = &mut call => return result,
+                    Ok(()) = contacts.changed() => {
+                        let contact = *contacts.borrow_and_update();
+                        let era = self.registry_view.revision().era;
+                        match sync_source::judge_call(before, contact, era) {
+                            CallInFlight::Continues => {}
+                            verdict => break verdict,
+                        }
+                    }
                 }
-                Some(revision) => self.registry.watch(revision, wait).await,
+            };
+            if verdict == CallInFlight::Fails {
+                let reason = "another call had no answer".to_owned();
+                return Err(RegistryError::Unreachable(reason));
             }
+        }
+    }
+
+    async fn read_or_watch(&self) -> Result<RegistryUpdate, RegistryError> {
+        let wait = match self.availability {
+            Availability::Available => WATCH_TIMEOUT,
+            Availability::Unknown => UNKNOWN_WATCH_TIMEOUT,
+            Availability::Unavailable => Duration::ZERO,
         };
-        // A watch that started before another call failed may never end, even once the
-        // registry is available again.
-        tokio::select! {
-            result = call => result,
-            () = self.gateway.renewal_changed.notified() => {
-                Err(RegistryError::Unreachable("another call had no answer".to_owned()))
+        match self.revision {
+            None => {
+                self.registry
+                    .read_all(self.consistency, self.read_timeout())
+                    .await
             }
+            Some(revision) => self.registry.watch(revision, wait).await,
         }
     }
 
--- a/src/gateway/registry_sync/host_source.rs
+++ b/src/gateway/registry_sync/host_source.rs
@@ -39,8 +39,6 @@
                     self.apply_due_changes();
                     continue;
                 }
-                // Failed renewals matter only while this host syncs from the registry.
-                () = self.gateway.renewal_changed.notified() => continue,
                 update = next_update(&mut updates) => update,
             };
             let update = match update {
--- a/src/policy/sync_source.rs
+++ b/src/policy/sync_source.rs
@@ -64,6 +64,40 @@
     Host(SocketAddr),
 }
 
+/// What a short call has shown about the registry while a watch of it waits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RegistryContact {
+    /// Whether the call got no response.
+    pub is_lost: bool,
+    /// Era of the registry in the last response; 0 before it.
+    pub era: u64,
+}
+
+/// What becomes of a call to the registry after another one has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallInFlight {
+    /// It goes on.
+    Continues,
+    /// It is cancelled as one without a response.
+    Fails,
+    /// It is made again: it started before the registry was available, or before it was
+    /// restored, and may never end.
+    Restarts,
+}
+
+/// Returns what becomes of a call that started after `before` was known, when another one
+/// shows `contact`. `era` is the era of this host's copy.
+#[must_use]
+pub fn judge_call(before: RegistryContact, contact: RegistryContact, era: u64) -> CallInFlight {
+    if contact.is_lost {
+        CallInFlight::Fails
+    } else if before.is_lost || contact.era > era {
+        CallInFlight::Restarts
+    } else {
+        CallInFlight::Continues
+    }
+}
+
 /// Backoff from sources that failed recently.
 #[derive(Debug, Default)]
 pub struct SourceBackoff {
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -4,7 +4,10 @@
     briarquay::{
         clock::Millis,
         collections::Name,
-        policy::sync_source::{Source, SourceBackoff, choose_source, is_stale},
+        policy::sync_source::{
+            CallInFlight, RegistryContact, Source, SourceBackoff, choose_source, is_stale,
+            judge_call,
+        },
         state::{
             leaf_limit::Share,
             rate_allocator::Claim,
@@ -424,3 +427,26 @@
     assert!(third.sync_status.age >= Duration::from_millis(300));
     assert!(last.is_err(), "a stopping host is not a source");
 }
+
+#[test]
+fn a_call_goes_on_unless_another_one_shows_that_it_may_never_end() {
+    let contact = |is_lost, era| RegistryContact { is_lost, era };
+    let verdict = |before, now| judge_call(before, now, 2);
+
+    assert_eq!(
+        verdict(contact(false, 2), contact(true, 2)),
+        CallInFlight::Fails
+    );
+    assert_eq!(
+        verdict(contact(true, 2), contact(false, 2)),
+        CallInFlight::Restarts
+    );
+    assert_eq!(
+        verdict(contact(false, 2), contact(false, 3)),
+        CallInFlight::Restarts
+    );
+    assert_eq!(
+        verdict(contact(false, 0), contact(false, 2)),
+        CallInFlight::Continues
+    );
+}
