Write a declaration again that a restored store has lost

What callers saw: nothing at once. Operators would see: after the store of briarquayd came back from an older copy, apply said conflict with a revision older than the one in force, and a change made from that older one got a revision that all daemons had, so that none applied it.

A watch from a version that the store doesn't have returns nothing.

Change: a record from the store is compared with the one in force by the ids of their changes (rollout.rs: has_lost, recover). What the store lacks is put before what it has accepted since, which gets new revisions, and is written by compare-and-swap: by the two watchers, which look at the version once after each watch without a change (a read per key and 10 s), and with the next submission at any daemon.

--- a/src/coordination/rollout.rs
+++ b/src/coordination/rollout.rs
@@ -125,6 +125,41 @@
         serde_json::to_string(self).expect("a record has a JSON form")
     }
 
+    /// Returns whether this record, from the store, lacks changes of `known`, which was in
+    /// force: the store was restored from an older copy since.
+    #[must_use]
+    pub fn has_lost(&self, known: &Self) -> bool {
+        let Some(last) = known.changes.last() else {
+            return false;
+        };
+        match self.change(known.revision) {
+            Some(change) => change.id != last.id,
+            // A change that is archived is not lost.
+            None => self.revision < known.revision,
+        }
+    }
+
+    /// Returns this record with the changes of `known` that it has lost. Changes that were
+    /// accepted since, on the older copy, follow them under new revisions: daemons that have
+    /// `known` ignore revisions that they have.
+    #[must_use]
+    pub fn recover(&self, known: &Self) -> Self {
+        let mut record = known.clone();
+        let oldest = known.changes.first().map_or(0, |change| change.revision);
+        let is_known = |change: &ChangeRecord| {
+            change.revision < oldest || known.changes.iter().any(|known| known.id == change.id)
+        };
+        for change in self.changes.iter().filter(|change| !is_known(change)) {
+            record.revision += 1;
+            record.changes.push(ChangeRecord {
+                revision: record.revision,
+                ..change.clone()
+            });
+            record.document.clone_from(&self.document);
+        }
+        record
+    }
+
     /// Returns the outcome of `submission` against this record.
     #[must_use]
     pub fn evaluate(&self, submission: &Submission, at_ms: u64) -> SubmissionOutcome {
--- a/src/coordinator/store_sync.rs
+++ b/src/coordinator/store_sync.rs
@@ -151,9 +151,14 @@
             match self.store.watch(&key, version, timeout).await {
                 Ok(Some(entry)) => {
                     version = entry.version;
-                    self.apply_watched(watched, &entry);
+                    self.apply_watched(watched, &entry).await;
+                }
+                Ok(None) => {
+                    version = version.max(1);
+                    if !timeout.is_zero() {
+                        version = self.check_version(watched, version).await;
+                    }
                 }
-                Ok(None) => version = version.max(1),
                 Err(_) => sleep(RETRY_DELAY).await,
             }
             if !self.is_watcher(&key) {
@@ -162,13 +167,29 @@
         }
     }
 
-    fn apply_watched(&self, watched: Watched, entry: &Versioned) {
+    /// Reads a value whose watch from `version` showed no change, and returns its version: a
+    /// store that was restored from an older copy has an earlier one, which no watch returns.
+    async fn check_version(&self, watched: Watched, version: u64) -> u64 {
+        let key = watched.store_key(&self.shared.settings.cluster);
+        match self.store.read(&key).await {
+            Ok(Some(entry)) if entry.version < version => {
+                self.apply_watched(watched, &entry).await;
+                entry.version
+            }
+            _ => version,
+        }
+    }
+
+    async fn apply_watched(&self, watched: Watched, entry: &Versioned) {
         match watched {
             Watched::Members => match read_list(Some(entry)) {
                 Ok(list) => self.apply_list(list),
                 Err(_) => warn!(self.shared.log, "members: list in the store is unreadable"),
             },
-            Watched::Declaration => self.apply_record(&Bytes::from(entry.value.clone())),
+            Watched::Declaration => {
+                self.apply_record(&Bytes::from(entry.value.clone()));
+                self.restore_record(entry).await;
+            }
         }
     }
 
--- a/src/coordinator/submit.rs
+++ b/src/coordinator/submit.rs
@@ -6,10 +6,10 @@
         clock::unix_ms,
         coordination::rollout::{ChangeRecord, Conflict, Record, Submission, SubmissionOutcome},
         declaration::Problems,
-        transport::store::{Store, StoreError},
+        transport::store::{Store, StoreError, Versioned},
     },
     bytes::Bytes,
-    slog::info,
+    slog::{info, warn},
 };
 
 /// Attempts at one submission when the store's replies are lost or others write in between.
@@ -65,12 +65,40 @@
         Submitted::Unknown
     }
 
+    /// Reads the record and its version in the store. Changes that this daemon has and the
+    /// store has lost are added.
     async fn read_record(&self) -> Result<(u64, Record), StoreError> {
-        let Some(entry) = self.store.read(&self.declaration_key()).await? else {
-            return Ok((0, Record::default()));
+        let (version, record) = match self.store.read(&self.declaration_key()).await? {
+            Some(entry) => (entry.version, parse_record(&entry)?),
+            None => (0, Record::default()),
         };
-        let record = Record::parse(entry.value.as_bytes()).map_err(|_| StoreError::Unavailable)?;
-        Ok((entry.version, record))
+        let known = self.record();
+        let record = if record.has_lost(&known) {
+            record.recover(&known)
+        } else {
+            record
+        };
+        Ok((version, record))
+    }
+
+    /// Writes the changes that this daemon has and the record `entry` of the store has lost
+    /// to the store again.
+    pub(super) async fn restore_record(&self, entry: &Versioned) {
+        let Ok(record) = parse_record(entry) else {
+            return;
+        };
+        let known = self.record();
+        if !record.has_lost(&known) {
+            return;
+        }
+        let recovered = record.recover(&known);
+        warn!(self.shared.log, "rollout: store lost changes; writing them again";
+            "revision" => record.revision, "known" => known.revision,
+            "recovered" => recovered.revision);
+        // After a conflict the next watch shows what another daemon has written.
+        if let Err(error) = self.write_record(entry.version, recovered).await {
+            warn!(self.shared.log, "rollout: lost changes can't be written"; "error" => %error);
+        }
     }
 
     async fn write_record(&self, version: u64, next: Record) -> Result<u64, StoreError> {
@@ -122,3 +150,7 @@
         Ok(changes)
     }
 }
+
+fn parse_record(entry: &Versioned) -> Result<Record, StoreError> {
+    Record::parse(entry.value.as_bytes()).map_err(|_| StoreError::Unavailable)
+}
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -96,6 +96,9 @@
     history: History,
 }
 
+/// A copy of all keys of a store.
+pub struct StoreCopy(FxHashMap<String, Entry>);
+
 /// A running stand-in of the store.
 pub struct StoreStandin {
     /// Address that it listens on.
@@ -139,6 +142,18 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Returns a copy of all keys.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.shared.keys).clone())
+    }
+
+    /// Restores the store from an earlier copy: what was written since is gone, and versions
+    /// are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        *lock(&self.shared.keys) = copy.0;
+    }
+
     /// Replaces the host list.
     pub fn set_hosts(&self, hosts: Vec<Host>) {
         *lock(&self.shared.hosts) = hosts;
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -4,8 +4,11 @@
 use {
     crate::fixtures::{assert_clean, changed, deploy, plan, search, search_load},
     briarquay::{
-        Declaration, coordination::rollout::Submission, coordinator::submit::Submitted,
+        Declaration, Settings,
+        coordination::rollout::{ChangeRecord, Record, Submission},
+        coordinator::{store_sync::Watched, submit::Submitted},
         deployment::Deployment,
+        transport::store::{HttpStore, Store},
     },
     standin::{
         History, check,
@@ -210,6 +213,90 @@
     assert_clean(&deployment.history.events());
 }
 
+/// The store is restored from a copy without revision 3; a revision of that number would be
+/// ignored by all daemons.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_after_the_store_lost_one_is_in_force_with_both_in_the_audit_trail() {
+    // Arrange
+    let deployment = deploy(plan(4, 5)).await;
+    let copy = deployment.store.copy();
+    let lost = submission("lost", 1, variant(&deployment, 1));
+    assert!(matches!(
+        deployment.daemons[0].submit(&lost).await,
+        Submitted::Accepted(2)
+    ));
+    in_force_everywhere(&deployment, 2).await;
+    deployment.store.restore(copy);
+
+    // Act
+    let next = submission("next", 2, variant(&deployment, 2));
+    let submitted = deployment.daemons[3].submit(&next).await;
+
+    // Assert
+    assert!(matches!(submitted, Submitted::Accepted(3)), "{submitted:?}");
+    in_force_everywhere(&deployment, 3).await;
+    let trail = deployment.daemons[1].history(true).await.expect("a trail");
+    let ids: Vec<&str> = trail.iter().map(|change| &*change.id).collect();
+    assert_eq!(ids[ids.len() - 2..], ["lost", "next"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_the_store_lost_is_written_again() {
+    // Arrange
+    let deployment = deploy(plan(4, 5)).await;
+    let copy = deployment.store.copy();
+    let change = submission("lost", 1, variant(&deployment, 1));
+    deployment.daemons[0].submit(&change).await;
+    in_force_everywhere(&deployment, 2).await;
+
+    // Act
+    deployment.store.restore(copy);
+
+    // Assert
+    let key = Watched::Declaration.store_key(&Settings::default().cluster);
+    let store = HttpStore::new(deployment.store.address);
+    let until = Instant::now() + Duration::from_secs(30);
+    loop {
+        let entry = store.read(&key).await.expect("the store replies");
+        let record = Record::parse(entry.expect("a record").value.as_bytes()).expect("a record");
+        if record.revision == 2 {
+            assert_eq!(record.changes.last().map(|last| &*last.id), Some("lost"));
+            break;
+        }
+        assert!(Instant::now() < until, "revision {}", record.revision);
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// A daemon that lacked the lost change accepted another one on the older copy.
+#[test]
+fn changes_accepted_on_an_older_copy_follow_the_lost_ones() {
+    let change = |id: &str, revision| ChangeRecord {
+        id: id.into(),
+        revision,
+        base: revision - 1,
+        who: "ana".to_owned(),
+        why: String::new(),
+        at_ms: 0,
+    };
+    let record = |document: &str, changes: &[ChangeRecord]| Record {
+        revision: changes.last().map_or(0, |last| last.revision),
+        document: document.to_owned(),
+        changes: changes.to_vec(),
+        archives: 0,
+    };
+    let known = record("lost", &[change("a", 1), change("lost", 2)]);
+    let store = record("later", &[change("a", 1), change("later", 2)]);
+
+    assert!(store.has_lost(&known));
+    let recovered = store.recover(&known);
+
+    assert_eq!((recovered.revision, &*recovered.document), (3, "later"));
+    let ids: Vec<&str> = recovered.changes.iter().map(|change| &*change.id).collect();
+    assert_eq!(ids, ["a", "lost", "later"]);
+    assert!(!recovered.has_lost(&known) && !recovered.has_lost(&store.recover(&known)));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_audit_trail_contains_every_change_including_archived_ones() {
     // Arrange
