Split the calls to the registry and the choice of a leaf from their modules

The calls to the registry and what makes them again are in registry_sync/calls, the leaf of the next attempt within the rate limits in hedged_request/leaf_choice. No behaviour changes.

--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -7,14 +7,13 @@
         Gateway,
         attempt::{Attempt, FailedAttempt, Outcome, OutgoingRequest},
         metrics::AttemptReason,
-        view::{LeafHandle, LimitVerdict, RouteStats, View, lock},
+        view::{RouteStats, View, lock},
     },
     crate::{
         clock::millis,
         collections::Name,
         policy::{
             hedge::{self, AttemptState},
-            leaf_selection,
             retry::{self, BudgetRetry},
         },
         protocol::{
@@ -39,6 +38,7 @@
 };
 
 pub mod attempts;
+mod leaf_choice;
 
 use self::attempts::{ScheduledRetry, ServiceAttempts, State};
 
@@ -364,57 +364,6 @@
         self.tasks.handles.push(task.abort_handle());
     }
 
-    /// Handles an attempt for which no leaf can be used.
-    fn record_no_leaf(&mut self, index: usize, cause: Cause) {
-        if cause == Cause::Overloaded {
-            self.gateway
-                .metrics
-                .record_limited_attempt(AttemptReason::Denied);
-            self.rejections += 1;
-        }
-        let service = &mut self.services[index];
-        if service.pending.is_empty() {
-            let failure = if service.counts.runs > 0 {
-                Failure::may_have_run(cause)
-            } else {
-                Failure::not_run(cause)
-            };
-            service.fail(failure, None);
-        }
-    }
-
-    /// Chooses the leaf of the next attempt and takes the attempt from this host's share of
-    /// its rate limit. Returns why there is none.
-    fn choose_leaf(&self, index: usize, now: Instant) -> Result<Arc<LeafHandle>, Cause> {
-        let service = &self.services[index];
-        let mut leaves: Vec<&Arc<LeafHandle>> = service.untried_leaves().collect();
-        if leaves.is_empty() && service.pending.is_empty() {
-            leaves = service.leaves().iter().collect();
-        }
-        let rate = self.view.cold_rate(service.name());
-        leaves.retain(|leaf| leaf.is_allowed(rate, now));
-        let near = &self.gateway.settings.domain;
-        let mut candidates: Vec<leaf_selection::Candidate> = leaves
-            .iter()
-            .map(|leaf| leaf.candidate(near, now))
-            .collect();
-        let mut cause = Cause::Unreachable;
-        while let Some(chosen) = leaf_selection::choose_leaf(&candidates, rand::random()) {
-            candidates.swap_remove(chosen);
-            let leaf = leaves.swap_remove(chosen);
-            match leaf.take_from_limit(now) {
-                LimitVerdict::Unlimited | LimitVerdict::WithinShare => return Ok(Arc::clone(leaf)),
-                LimitVerdict::UsedUp => {}
-                LimitVerdict::Unclaimed => {
-                    self.gateway.limits.add(leaf);
-                    self.gateway.limits.claim_now();
-                }
-            }
-            cause = Cause::Overloaded;
-        }
-        Err(cause)
-    }
-
     fn record_outcome(&mut self, ended: FinishedAttempt) {
         let now = Instant::now();
         let is_gathered = matches!(self.route.destination, Destination::Shards(_));
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -8,7 +8,7 @@
     super::{Gateway, registration::OwnEntry, registry_view::RegistryView},
     crate::{
         clock::{Millis, millis},
-        policy::sync_source::{self, CallInFlight, RegistryContact, Source, SourceBackoff},
+        policy::sync_source::{self, Source, SourceBackoff},
         state::revision::{Lease, Revision},
         transport::{
             fleet::{self, ChangeBatch, EncodedEntries, SyncStatus, SyncUpdate},
@@ -18,7 +18,6 @@
     rand::seq::IndexedRandom,
     slog::{info, warn},
     std::{
-        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -26,37 +25,17 @@
     tokio_util::sync::CancellationToken,
 };
 
+mod calls;
 mod host_source;
 
-/// Time for which a watch waits for a change. A registry that hangs with its connections
-/// open is noticed sooner, by the renewals of this host's lease.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// The same while the registry may be unavailable: short, so that other hosts are queried
-/// soon. While it is unavailable, a call does not wait at all: a host that was cut off must
-/// learn of a change within the seconds after the cut ends.
-const UNKNOWN_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Timeout of each call of a full read. The registry answers in some milliseconds, and in
-/// some hundred when it is slow.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The same for a host without routes. It can't serve, so it accepts more calls to notice
-/// sooner that a registry that hung is available again.
-const START_READ_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Delay of a host without routes after a failed call.
 const START_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Failed calls in a row after which a host without routes uses [`READ_TIMEOUT`] and
-/// [`RETRY_DELAY`]: the registry may be slower than [`START_READ_TIMEOUT`].
-const MAX_START_ATTEMPTS: u32 = 8;
-
 /// Delay between two watches, as a share of the time within which a change must take effect.
 /// One watch then returns the changes of many leaves and hosts that start or stop together.
 const WATCH_DELAY_RATIO: f64 = 0.16;
 
-/// Delay of a host without routes after a failed call, once [`MAX_START_ATTEMPTS`] are made.
+/// The same once many calls have failed in a row.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Entries that are decoded before the task yields to requests: some hundred microseconds of
@@ -226,63 +205,6 @@
         }
     }
 
-    /// Reads the whole registry, or watches it for changes after the present revision.
-    async fn call_registry(
-        &self,
-        contacts: &mut watch::Receiver<RegistryContact>,
-    ) -> Result<RegistryUpdate, RegistryError> {
-        loop {
-            let before = *contacts.borrow_and_update();
-            let mut call = pin!(self.read_or_watch());
-            let verdict = loop {
-                tokio::select! {
-                    result = &mut call => return result,
-                    Ok(()) = contacts.changed() => {
-                        let contact = *contacts.borrow_and_update();
-                        let era = self.registry_view.revision().era;
-                        match sync_source::judge_call(before, contact, era) {
-                            CallInFlight::Continues => {}
-                            verdict => break verdict,
-                        }
-                    }
-                }
-            };
-            if verdict == CallInFlight::Fails {
-                let reason = "another call had no answer".to_owned();
-                return Err(RegistryError::Unreachable(reason));
-            }
-        }
-    }
-
-    async fn read_or_watch(&self) -> Result<RegistryUpdate, RegistryError> {
-        let wait = match self.availability {
-            Availability::Available => WATCH_TIMEOUT,
-            Availability::Unknown => UNKNOWN_WATCH_TIMEOUT,
-            Availability::Unavailable => Duration::ZERO,
-        };
-        match self.revision {
-            None => {
-                self.registry
-                    .read_all(self.consistency, self.read_timeout())
-                    .await
-            }
-            Some(revision) => self.registry.watch(revision, wait).await,
-        }
-    }
-
-    /// Returns whether the shorter timeout and delay of a host without routes apply.
-    fn is_starting(&self) -> bool {
-        !self.registry_view.has_routes() && self.failures < MAX_START_ATTEMPTS
-    }
-
-    fn read_timeout(&self) -> Duration {
-        if self.is_starting() {
-            START_READ_TIMEOUT
-        } else {
-            READ_TIMEOUT
-        }
-    }
-
     /// Applies an update from the registry; returns the delay before the next call.
     async fn apply_registry_update(&mut self, update: RegistryUpdate) -> Duration {
         let now = Millis::now();
