Look for this host's lease in the restored registry, not in the roster

What callers saw: nothing yet.

Cause: after a restore the roster keeps hosts that the older copy lacks until the suspect period ends. The host looked there for its own entry, found the old one, and took its lease for one of the new era: where the id was another's by then, renewals succeeded and the host was never registered again. The test of this case passed because it restored the store before the host had received its own entry.

Change: the entry and its lease are taken from the update itself. A renewal that shows another era first no longer registers anew at once, but waits a second for what the copy has of this host: most hosts are in it.

Evidence: host_whose_lease_a_restored_registry_gave_to_another_registers_again, with a second's wait before the restore, failed on the code before (not registered within 15 s) and passes.

--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -36,6 +36,9 @@
 /// missing entries as removed 2.3 seconds after the restore.
 const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(800);
 
+/// Time for which a host waits to learn whether a restored registry has its entry.
+const OWN_ENTRY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time for which a starting host waits for the lease of an earlier process.
 const PREVIOUS_LEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -73,17 +76,25 @@
     let _ = timeout(PREVIOUS_LEASE_TIMEOUT, own_entry.changed()).await;
     let mut lease = own_entry.borrow_and_update().and_then(|entry| entry.lease);
     let mut failures = 0;
+    let mut awaits_copy = false;
     while !stop.is_cancelled() {
         let started = Millis::now();
-        let delay = match renew_or_register(&gateway, &*registry, &member, lease).await {
+        let delay = match renew_or_register(&*registry, &member, lease).await {
             Ok(current) => {
                 lease = Some(current);
                 gateway.registry_copy.record_contact(started);
                 failures = 0;
+                awaits_copy = false;
                 record_response(&gateway, current.era);
                 renewal_interval(&gateway)
             }
-            Err(RegistryError::LeaseExpired) => {
+            // The sync reads the restored registry and tells whether this host's entry is in it.
+            Err(RegistryError::Restored(era)) if !awaits_copy => {
+                awaits_copy = true;
+                record_response(&gateway, era);
+                OWN_ENTRY_TIMEOUT
+            }
+            Err(RegistryError::LeaseExpired | RegistryError::Restored(_)) => {
                 info!(
                     gateway.log,
                     "registration: this host's lease has expired; registering again"
@@ -137,7 +148,6 @@
 
 /// Renews `lease`, or writes the entry under a new lease without one.
 async fn renew_or_register<R: Registry>(
-    gateway: &Gateway,
     registry: &R,
     member: &Member,
     lease: Option<Lease>,
@@ -148,8 +158,7 @@
             if lease.is_valid_in(era) {
                 return Ok(lease);
             }
-            record_response(gateway, era);
-            Err(RegistryError::LeaseExpired)
+            Err(RegistryError::Restored(era))
         }
         None => registry.register(member, LEASE_TTL).await,
     }
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -9,7 +9,10 @@
     crate::{
         clock::{Millis, millis},
         policy::sync_source::{self, Source, SourceBackoff},
-        state::revision::{Lease, Revision},
+        state::{
+            revision::{Lease, Revision},
+            roster::{Member, RosterChange},
+        },
         transport::{
             fleet::{self, ChangeBatch, EncodedEntries, SyncStatus, SyncUpdate},
             registry::{DecodedEntries, ReadConsistency, Registry, RegistryError, RegistryUpdate},
@@ -259,14 +262,26 @@
         known.is_initial() || !received.continues(known)
     }
 
-    /// Returns the lease that this host's entry in the copy names, if it has the present
-    /// settings: an earlier process wrote it, or this one did before a restore.
-    fn find_own_lease(&self, era: u64) -> Option<Lease> {
+    /// Returns what an update of the registry has of this host: its lease, if its entry has the
+    /// present settings. An earlier process wrote it, or this one did before a restore. The
+    /// roster keeps entries that a restored registry lacks for a while.
+    fn find_own_entry(&self, era: u64, changes: &[RosterChange]) -> OwnEntry {
         let settings = &self.gateway.settings;
-        let own = self.registry_view.roster.member(&settings.id)?;
-        let is_same = (Some(own.address), &own.domain, own.millicores)
-            == (settings.peer_address, &settings.domain, settings.millicores);
-        (is_same && own.lease > 0).then_some(Lease { id: own.lease, era })
+        let is_kept = |member: &&Member| {
+            member.id == settings.id
+                && member.lease > 0
+                && (Some(member.address), &member.domain, member.millicores)
+                    == (settings.peer_address, &settings.domain, settings.millicores)
+        };
+        let mut members = changes.iter().filter_map(|change| match change {
+            RosterChange::Member(member) => Some(member),
+            _ => None,
+        });
+        let own = members.rfind(is_kept);
+        OwnEntry {
+            era,
+            lease: own.map(|own| Lease { id: own.lease, era }),
+        }
     }
 
     /// Applies the deferred changes that are due.
@@ -305,16 +320,14 @@
                 entries: Arc::new(EncodedEntries::new(update.entries.clone())),
             });
         self.revision = Some(update.revision);
+        if is_first_of_era {
+            let own = self.find_own_entry(update.revision.era, &changes.roster_changes);
+            self.own_entry.send_replace(Some(own));
+        }
         let gateway = &self.gateway;
         let is_changed = self
             .registry_view
             .apply_changes(gateway, changes, is_full, now);
-        if is_first_of_era {
-            self.own_entry.send_replace(Some(OwnEntry {
-                era: update.revision.era,
-                lease: self.find_own_lease(update.revision.era),
-            }));
-        }
         self.registry_view.store_entries(update, is_full);
         if is_changed {
             gateway.publish_view(self.registry_view.build_view(gateway, now));
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -68,6 +68,9 @@
     Compacted,
     /// The lease has ended.
     LeaseExpired,
+    /// The registry was restored from an older copy, into this era, since it gave out the
+    /// lease: the lease may be another client's.
+    Restored(u64),
     /// No response, or one that can't be decoded; a write may have taken effect.
     Unreachable(String),
     /// The registry rejected the call with this HTTP status; nothing was done.
@@ -80,6 +83,7 @@
             Self::Compacted => {
                 formatter.write_str("the registry no longer has the requested changes")
             }
+            Self::Restored(era) => write!(formatter, "the registry was restored, into era {era}"),
             Self::LeaseExpired => formatter.write_str("the lease has ended"),
             Self::Unreachable(reason) => write!(formatter, "no response: {reason}"),
             Self::Rejected(status) => write!(formatter, "rejected with status {status}"),
