--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -24,7 +24,7 @@
 pub const SUSPECT_PERIOD: Duration = Duration::from_millis(2_300);
 
 /// Time for which an entry from an older copy of a leaf that had ended is not used: the
-/// registry removes it within three check-in intervals if the leaf has indeed ended.
+/// registry removes it after three missed heartbeats if the leaf has indeed ended.
 const RETURN_DELAY: Duration = Duration::from_secs(5);
 
 /// Time for which leaves that have ended are remembered; copies that the registry is restored
