--- a/src/gateway/hedged_request/leaf_choice.rs
+++ b/src/gateway/hedged_request/leaf_choice.rs
@@ -5,7 +5,7 @@
     crate::{
         gateway::{
             metrics::AttemptReason,
-            view::{LeafHandle, LimitVerdict},
+            view::{LeafHandle, LimitCheck},
         },
         policy::leaf_selection,
         protocol::verdict::{Cause, Failure},
@@ -53,9 +53,9 @@
             candidates.swap_remove(chosen);
             let leaf = leaves.swap_remove(chosen);
             match leaf.take_from_limit(now) {
-                LimitVerdict::Unlimited | LimitVerdict::WithinShare => return Ok(Arc::clone(leaf)),
-                LimitVerdict::UsedUp => {}
-                LimitVerdict::Unclaimed => {
+                LimitCheck::Unlimited | LimitCheck::WithinShare => return Ok(Arc::clone(leaf)),
+                LimitCheck::UsedUp => {}
+                LimitCheck::Unclaimed => {
                     self.gateway.limits.add(leaf);
                     self.gateway.limits.claim_now();
                 }
--- a/src/gateway/registry_sync/calls.rs
+++ b/src/gateway/registry_sync/calls.rs
@@ -40,7 +40,7 @@
         loop {
             let before = *contacts.borrow_and_update();
             let mut call = pin!(self.read_or_watch());
-            let verdict = loop {
+            let outcome = loop {
                 tokio::select! {
                     result = &mut call => return result,
                     Ok(()) = contacts.changed() => {
@@ -48,12 +48,12 @@
                         let era = self.registry_view.revision().era;
                         match sync_source::judge_call(before, contact, era) {
                             CallInFlight::Continues => {}
-                            verdict => break verdict,
+                            outcome => break outcome,
                         }
                     }
                 }
             };
-            if verdict == CallInFlight::Fails {
+            if outcome == CallInFlight::Fails {
                 let reason = "another call had no answer".to_owned();
                 return Err(RegistryError::Unreachable(reason));
             }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -124,7 +124,7 @@
 
 /// Whether a leaf's rate limit lets this host send a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LimitVerdict {
+pub enum LimitCheck {
     /// The leaf states no limit.
     Unlimited,
     /// This host's share of the limit has room.
@@ -282,16 +282,16 @@
     /// Counts a request that this host would send, and takes it from the share of the leaf's
     /// rate limit when there is room.
     #[must_use]
-    pub fn take_from_limit(&self, now: Instant) -> LimitVerdict {
+    pub fn take_from_limit(&self, now: Instant) -> LimitCheck {
         let mut stats = lock(&self.stats);
         if stats.stated_limit.rate.is_none() {
-            return LimitVerdict::Unlimited;
+            return LimitCheck::Unlimited;
         }
         let is_unclaimed = stats.limit_share.is_unclaimed();
         match (stats.limit_share.try_send(now), is_unclaimed) {
-            (true, _) => LimitVerdict::WithinShare,
-            (false, true) => LimitVerdict::Unclaimed,
-            (false, false) => LimitVerdict::UsedUp,
+            (true, _) => LimitCheck::WithinShare,
+            (false, true) => LimitCheck::Unclaimed,
+            (false, false) => LimitCheck::UsedUp,
         }
     }
 
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -431,22 +431,22 @@
 #[test]
 fn a_call_goes_on_unless_another_one_shows_that_it_may_never_end() {
     let contact = |is_lost, era| RegistryContact { is_lost, era };
-    let verdict = |before, now| judge_call(before, now, 2);
+    let judge = |before, now| judge_call(before, now, 2);
 
     assert_eq!(
-        verdict(contact(false, 2), contact(true, 2)),
+        judge(contact(false, 2), contact(true, 2)),
         CallInFlight::Fails
     );
     assert_eq!(
-        verdict(contact(true, 2), contact(false, 2)),
+        judge(contact(true, 2), contact(false, 2)),
         CallInFlight::Restarts
     );
     assert_eq!(
-        verdict(contact(false, 2), contact(false, 3)),
+        judge(contact(false, 2), contact(false, 3)),
         CallInFlight::Restarts
     );
     assert_eq!(
-        verdict(contact(false, 0), contact(false, 2)),
+        judge(contact(false, 0), contact(false, 2)),
         CallInFlight::Continues
     );
 }
