Defer all removals of the roster in one set

All of them are due at the end of the suspect period, so one set and that time say the same, without a search of the list for each entry that is back. Roster::member, which nothing calls any more, is gone, and one comment is clearer. No behaviour, bound or assertion changes.

--- a/src/state/leaf_limit.rs
+++ b/src/state/leaf_limit.rs
@@ -118,7 +118,7 @@
         }
     }
 
-    /// Returns whether no claim was made since this share was last without use.
+    /// Returns whether this host has no claim: it made none, or released its share since.
     #[must_use]
     pub fn is_unclaimed(&self) -> bool {
         self.claim_due_at.is_none()
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -129,6 +129,15 @@
     MemberGone(Name),
 }
 
+/// A removal that is deferred, with the name of what is removed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Removal {
+    Leaf(Name),
+    /// Of a domain from those out of service.
+    DomainOut(Name),
+    Member(Name),
+}
+
 /// Parts of the roster that changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ChangedParts {
@@ -144,10 +153,8 @@
     leaves: Map<Name, Leaf>,
     domains_out: Set<Name>,
     members: Map<Name, Member>,
-    /// Leaves whose removal is deferred, each with the time at which it is due.
-    deferred_removals: Map<Name, Millis>,
-    /// The same of entry hosts and of domains out of service.
-    deferred_changes: Vec<(RosterChange, Millis)>,
+    /// Removals that are due at the end of the suspect period.
+    deferred_removals: Set<Removal>,
     /// Leaves that have ended, as last known, each with the time at which it ended.
     ended: Map<Name, (Leaf, Millis)>,
     /// Entries of such leaves in a restored registry, each with the time from which the leaf
@@ -168,12 +175,6 @@
     /// at its end.
     pub fn extend_suspect_period(&mut self, until: Millis) {
         self.suspect_until = self.suspect_until.max(until);
-        for due_at in self.deferred_removals.values_mut() {
-            *due_at = self.suspect_until;
-        }
-        for (_, due_at) in &mut self.deferred_changes {
-            *due_at = self.suspect_until;
-        }
     }
 
     /// Returns the end of the suspect period.
@@ -188,7 +189,8 @@
             RosterChange::Leaf(leaf) => self.add_leaf(leaf),
             RosterChange::LeafGone(id) => self.remove_leaf(id, now),
             RosterChange::DomainOut(domain) => {
-                self.cancel_deferred(&RosterChange::DomainIn(domain.clone()));
+                self.deferred_removals
+                    .remove(&Removal::DomainOut(domain.clone()));
                 ChangedParts::leaves(self.domains_out.insert(domain))
             }
             RosterChange::DomainIn(domain) => {
@@ -196,11 +198,11 @@
             }
             RosterChange::Member(member) => {
                 let id = member.id.clone();
-                self.cancel_deferred(&RosterChange::MemberGone(id.clone()));
+                self.deferred_removals.remove(&Removal::Member(id.clone()));
                 ChangedParts::members(self.members.insert(id, member.clone()) != Some(member))
             }
-            RosterChange::MemberGone(_) if now < self.suspect_until => {
-                self.defer(change);
+            RosterChange::MemberGone(id) if now < self.suspect_until => {
+                self.deferred_removals.insert(Removal::Member(id));
                 ChangedParts::default()
             }
             RosterChange::MemberGone(id) => {
@@ -248,8 +250,8 @@
         );
         for change in removals.into_iter().chain(all) {
             let change = match change {
-                RosterChange::DomainIn(_) if now < self.suspect_until => {
-                    self.defer(change);
+                RosterChange::DomainIn(domain) if now < self.suspect_until => {
+                    self.deferred_removals.insert(Removal::DomainOut(domain));
                     continue;
                 }
                 RosterChange::Leaf(leaf) if self.is_return(&leaf, now) => {
@@ -267,19 +269,17 @@
 
     /// Applies the deferred changes that are due.
     pub fn apply_due_changes(&mut self, now: Millis) -> ChangedParts {
-        let removals = self
-            .deferred_removals
-            .extract_if(|_, due_at| now >= *due_at)
-            .map(|(id, _)| RosterChange::LeafGone(id));
-        let changes = self
-            .deferred_changes
-            .extract_if(.., |(_, due_at)| now >= *due_at)
-            .map(|(change, _)| change);
+        let removals = if now >= self.suspect_until {
+            std::mem::take(&mut self.deferred_removals)
+        } else {
+            Set::default()
+        };
+        let removals = removals.into_iter().map(Removal::into_change);
         let returns = self
             .deferred_returns
             .extract_if(|_, (_, due_at)| now >= *due_at)
             .map(|(_, (leaf, _))| RosterChange::Leaf(leaf));
-        let due: Vec<RosterChange> = removals.chain(changes).chain(returns).collect();
+        let due: Vec<RosterChange> = removals.chain(returns).collect();
         due.into_iter()
             .map(|change| self.apply_change(change, now))
             .fold(ChangedParts::default(), ChangedParts::union)
@@ -288,10 +288,9 @@
     /// Returns when the next deferred change is due.
     #[must_use]
     pub fn next_due(&self) -> Option<Millis> {
-        let removals = self.deferred_removals.values().copied();
-        let changes = self.deferred_changes.iter().map(|(_, due_at)| *due_at);
+        let removals = (!self.deferred_removals.is_empty()).then_some(self.suspect_until);
         let returns = self.deferred_returns.values().map(|(_, due_at)| *due_at);
-        removals.chain(changes).chain(returns).min()
+        removals.into_iter().chain(returns).min()
     }
 
     /// Returns the leaves that may get new requests.
@@ -306,12 +305,6 @@
         self.members.values()
     }
 
-    /// Returns the entry host with the name `id`.
-    #[must_use]
-    pub fn member(&self, id: &str) -> Option<&Member> {
-        self.members.get(id)
-    }
-
     /// Returns the whole roster as changes, for a host that syncs from this one.
     #[must_use]
     pub fn as_changes(&self) -> Vec<RosterChange> {
@@ -326,7 +319,8 @@
     }
 
     fn add_leaf(&mut self, mut leaf: Leaf) -> ChangedParts {
-        self.deferred_removals.remove(&leaf.id);
+        self.deferred_removals
+            .remove(&Removal::Leaf(leaf.id.clone()));
         self.deferred_returns.remove(&leaf.id);
         let known = self.leaves.get(&leaf.id);
         if known.is_some_and(|known| leaf.is_older_than(known)) {
@@ -352,17 +346,6 @@
         })
     }
 
-    /// Defers a removal to the end of the suspect period.
-    fn defer(&mut self, removal: RosterChange) {
-        self.cancel_deferred(&removal);
-        self.deferred_changes.push((removal, self.suspect_until));
-    }
-
-    fn cancel_deferred(&mut self, removal: &RosterChange) {
-        self.deferred_changes
-            .retain(|(deferred, _)| deferred != removal);
-    }
-
     fn remove_leaf(&mut self, id: Name, now: Millis) -> ChangedParts {
         self.deferred_returns.remove(&id);
         let Some(leaf) = self.leaves.get(&id) else {
@@ -370,12 +353,10 @@
         };
         // A leaf that announced that it stops does not write its entry again.
         if now < self.suspect_until && leaf.phase == Phase::Serving {
-            self.deferred_removals
-                .entry(id)
-                .or_insert(self.suspect_until);
+            self.deferred_removals.insert(Removal::Leaf(id));
             return ChangedParts::default();
         }
-        self.deferred_removals.remove(&id);
+        self.deferred_removals.remove(&Removal::Leaf(id.clone()));
         self.ended.retain(|_, (_, at)| now.since(*at) < ENDED_TTL);
         if let Some(leaf) = self.leaves.remove(&id) {
             self.ended.insert(id, (leaf, now));
@@ -384,6 +365,16 @@
     }
 }
 
+impl Removal {
+    fn into_change(self) -> RosterChange {
+        match self {
+            Self::Leaf(id) => RosterChange::LeafGone(id),
+            Self::DomainOut(domain) => RosterChange::DomainIn(domain),
+            Self::Member(id) => RosterChange::MemberGone(id),
+        }
+    }
+}
+
 impl ChangedParts {
     fn leaves(leaves: bool) -> Self {
         Self {
