Send no request twice on one connection to a leaf

Cause: all attempts of a request have its id, and a connection was used again after any whole reply with the right id. The late second copy of a leaf's rejection was taken for the reply to the second attempt on that connection: "not run", while the leaf ran it.

Change: a request remembers its connections, and its later attempts take others, whatever the earlier reply was (rejection, 421, early reply, a reply behind an interim one, the loser of a race). The reply to a request without an id is the last on its connection. An idle connection is closed where a further one would exceed this host's share of the leaf's connections.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
             verdict::{Cause, Failure, Verdict},
         },
         state::relative_latency::BaselineLatency,
-        transport::leaf::{Connection, LeafReply, ReplyBuffers, Slot},
+        transport::leaf::{Connection, LeafReply, ReplyBuffers, Slot, UsedConnections},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -20,7 +20,7 @@
 };
 
 /// A request as it is sent to leaves.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct OutgoingRequest {
     /// Id of the caller's attempt, for logs.
     pub id: Name,
@@ -34,6 +34,8 @@
     pub body: Bytes,
     /// Time at which the caller's or the route's timeout ends, whichever is earlier.
     pub deadline: Instant,
+    /// Connections on which this host has sent it.
+    pub used_connections: UsedConnections,
 }
 
 /// The result of an attempt.
@@ -147,16 +149,19 @@
     }
 
     async fn connect(&self) -> Result<(Connection, ConnectionPermit<'_>), Cause> {
-        match self.leaf.pool.acquire(self.connections, Instant::now()) {
-            Slot::Idle(connection) => Ok((*connection, ConnectionPermit::new(&self.leaf))),
+        let used = &self.outgoing.used_connections;
+        let pool = &self.leaf.pool;
+        let (connection, permit) = match pool.acquire(self.connections, used, Instant::now()) {
+            Slot::Idle(connection) => (*connection, ConnectionPermit::new(&self.leaf)),
             Slot::New => {
                 let permit = ConnectionPermit::new(&self.leaf);
                 let connection = Connection::open(self.leaf.leaf.address).await;
-                let connection = connection.map_err(|_| Cause::Unreachable)?;
-                Ok((connection, permit))
+                (connection.map_err(|_| Cause::Unreachable)?, permit)
             }
-            Slot::Full => Err(Cause::Overloaded),
-        }
+            Slot::Full => return Err(Cause::Overloaded),
+        };
+        used.record(&connection);
+        Ok((connection, permit))
     }
 
     /// Builds the request for this leaf. Returns `None` when the leaf's id is no valid
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,6 +20,7 @@
         },
         protocol::verdict::{Cause, Failure, Verdict},
         state::routes::{Destination, Route, RouteTable, Shards, SplitService},
+        transport::leaf::UsedConnections,
     },
     bytes::Bytes,
     futures_util::FutureExt,
@@ -154,6 +155,7 @@
         headers,
         body,
         deadline: started + timeout,
+        used_connections: UsedConnections::default(),
     })
 }
 
--- a/src/gateway/subquery.rs
+++ b/src/gateway/subquery.rs
@@ -17,7 +17,7 @@
         state::routes::{Destination, Repeats, Route, Shards},
         transport::{
             fleet::{LostShard, PartialResult, Subquery, SubqueryService},
-            leaf::LeafReply,
+            leaf::{LeafReply, UsedConnections},
         },
     },
     futures_util::{
@@ -266,6 +266,7 @@
             headers: subquery.headers,
             body: subquery.body,
             deadline: started + subquery.deadline,
+            used_connections: UsedConnections::default(),
         }),
         started,
         soft_deadline: started + subquery.soft_deadline,
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection is reused only after a complete reply that repeats the request's id. Bytes
 //! that a leaf sends without a request close it, so that no bytes of one reply can reach the
-//! caller of another request.
+//! caller of another request. All attempts of a request have the same id, so each attempt uses
+//! another connection: a late copy of an earlier reply can't be taken for the reply to it.
 //!
 //! A connection has no task of its own: the task that sends a request also reads the reply,
 //! so that a reply wakes one task once. An idle connection is not read. What the leaf did
@@ -31,7 +32,7 @@
         pin::{Pin, pin},
         sync::{
             Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -66,6 +67,9 @@
 /// endless bodies at the same time must not fill the 160 MB of the smallest hosts.
 const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
+/// Number of the next connection of this process.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
+
 /// Header in which a leaf states its idle timeout.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -83,6 +87,8 @@
 /// A connection to a leaf.
 #[derive(Debug)]
 pub struct Connection {
+    /// Unique in this process.
+    number: u64,
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
     reusable_until: Instant,
@@ -90,6 +96,27 @@
     is_reused: bool,
 }
 
+/// The connections on which a request was sent.
+#[derive(Debug, Default)]
+pub struct UsedConnections {
+    numbers: Mutex<Vec<u64>>,
+}
+
+impl UsedConnections {
+    /// Records that the request is about to be sent on `connection`.
+    pub fn record(&self, connection: &Connection) {
+        self.lock().push(connection.number);
+    }
+
+    fn contains(&self, connection: &Connection) -> bool {
+        self.lock().contains(&connection.number)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<u64>> {
+        self.numbers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Counts the body bytes that are buffered while replies are read, up to
 /// `MAX_BUFFERED_BYTES`.
 #[derive(Debug, Default)]
@@ -191,6 +218,7 @@
             .await
             .map_err(io::Error::other)?;
         Ok(Self {
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
             sender,
             driver: Driver {
                 io: Some(Box::new(connection)),
@@ -249,7 +277,8 @@
                 was_idle: false,
             });
         }
-        let reusable = self.into_reusable(&head.headers);
+        // Without an id, a late copy could not be told from the reply to the next request.
+        let reusable = self.into_reusable(&head.headers).filter(|_| id.is_some());
         let reply = LeafReply {
             status: head.status,
             headers: head.headers,
@@ -344,18 +373,26 @@
 }
 
 impl Pool {
-    /// Takes an idle connection, or the permission to open one, when fewer than `limit` are
-    /// in use. Every [`Slot`] but `Full` must be returned with [`Pool::release`].
-    pub fn acquire(&self, limit: usize, now: Instant) -> Slot {
+    /// Takes an idle connection that is not one of `used`, or the permission to open one, when
+    /// fewer than `limit` are in use. Every [`Slot`] but `Full` must be returned with
+    /// [`Pool::release`].
+    pub fn acquire(&self, limit: usize, used: &UsedConnections, now: Instant) -> Slot {
         let mut state = self.lock();
         if state.in_use >= limit {
             return Slot::Full;
         }
         state.in_use += 1;
-        while let Some(connection) = state.idle.pop() {
-            if connection.is_reusable(now) {
-                return Slot::Idle(Box::new(connection));
-            }
+        state.idle.retain(|connection| connection.is_reusable(now));
+        let unused = state
+            .idle
+            .iter()
+            .rposition(|connection| !used.contains(connection));
+        if let Some(index) = unused {
+            return Slot::Idle(Box::new(state.idle.remove(index)));
+        }
+        // The leaf counts idle connections too.
+        if state.in_use + state.idle.len() > limit {
+            state.idle.remove(0);
         }
         Slot::New
     }
