Notice a lost reply of the store within the bound on changes

Cause: a watch waited 10 s, and one whose reply is lost looks like one without a change; renewals on other connections were answered. On related paths: any failed watch counted as an outage, which defers removals by 2.3 s; one lost reply to a renewal of a source made all its followers call the store.

Change: a watch ends so early that a change of which one reply is lost is in force within the bound. A watch without a reply is made once more, without a wait, before the store counts as unavailable. A renewal without a reply after 350 ms is made once more beside the first. Followers renew each 9 s in place of 6 s.

--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -8,6 +8,7 @@
         state::{revision::Lease, roster::Member},
         transport::registry::{Registry, RegistryError},
     },
+    futures_util::future::select_ok,
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -30,7 +31,11 @@
 const SOURCE_RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Time between renewals of a host that syncs from another: they only keep its entry.
-const FOLLOWER_RENEWAL_INTERVAL: Duration = Duration::from_secs(6);
+const FOLLOWER_RENEWAL_INTERVAL: Duration = Duration::from_secs(9);
+
+/// Time after which a renewal without a reply is made once more, beside the first. Followers
+/// of this host would call the registry themselves if a single lost reply made it seem behind.
+const RENEWAL_HEDGE_DELAY: Duration = Duration::from_millis(350);
 
 /// Largest delay of the registration after the registry was restored: other hosts treat
 /// missing entries as removed 2.3 seconds after the restore.
@@ -154,7 +159,7 @@
 ) -> Result<Lease, RegistryError> {
     match lease {
         Some(lease) => {
-            let era = registry.renew(lease).await?;
+            let era = renew(registry, lease).await?;
             if lease.is_valid_in(era) {
                 return Ok(lease);
             }
@@ -164,6 +169,18 @@
     }
 }
 
+/// Renews `lease`; makes the call twice when the first reply is late. Returns the era of the
+/// registry.
+async fn renew<R: Registry>(registry: &R, lease: Lease) -> Result<u64, RegistryError> {
+    let mut first = Box::pin(registry.renew(lease));
+    if let Ok(renewed) = timeout(RENEWAL_HEDGE_DELAY, first.as_mut()).await {
+        return renewed;
+    }
+    let second = Box::pin(registry.renew(lease));
+    let (era, _) = select_ok([first, second]).await?;
+    Ok(era)
+}
+
 fn renewal_interval(gateway: &Gateway) -> Duration {
     match (gateway.registry_copy.has_followers(), gateway.is_follower()) {
         (true, _) => SOURCE_RENEWAL_INTERVAL,
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -34,10 +34,6 @@
 /// Delay of a host without routes after a failed call.
 const START_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Delay between two watches, as a share of the time within which a change must take effect.
-/// One watch then returns the changes of many leaves and hosts that start or stop together.
-const WATCH_DELAY_RATIO: f64 = 0.16;
-
 /// The same once many calls have failed in a row.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -228,10 +224,7 @@
             "before" => self.revision.map(|revision| revision.to_string()), "entries" => update.entries.len());
         let is_changed = self.apply_entries(update, is_full).await;
         if is_changed && !is_full {
-            self.gateway
-                .settings
-                .apply_timeout
-                .mul_f64(WATCH_DELAY_RATIO)
+            sync_source::watch_delay(self.gateway.settings.apply_timeout)
         } else {
             Duration::ZERO
         }
--- a/src/gateway/registry_sync/calls.rs
+++ b/src/gateway/registry_sync/calls.rs
@@ -6,20 +6,20 @@
         policy::sync_source::{self, CallInFlight, RegistryContact},
         transport::registry::{Registry, RegistryError, RegistryUpdate},
     },
+    slog::info,
     std::{pin::pin, time::Duration},
     tokio::sync::watch,
 };
 
-/// Time for which a watch waits for a change. A registry that hangs with its connections
-/// open is noticed sooner, by the renewals of this host's lease.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// The same while the registry may be unavailable: short, so that other hosts are queried
-/// soon. While it is unavailable, a call does not wait at all: a host that was cut off must
-/// learn of a change within the seconds after the cut ends.
+/// Time for which a watch waits for a change while the registry may be unavailable: short, so
+/// that other hosts are queried soon. While it is unavailable, a call does not wait at all: a
+/// host that was cut off must learn of a change within the seconds after the cut ends.
 const UNKNOWN_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Timeout of each call of a full read. The registry answers in some milliseconds, and in
+/// Timeout of a watch, in addition to the time for which it waits.
+const WATCH_REPLY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Timeout of each call of a full read, and of a watch that does not wait. The registry answers in some milliseconds, and in
 /// some hundred when it is slow.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -37,12 +37,22 @@
         &self,
         contacts: &mut watch::Receiver<RegistryContact>,
     ) -> Result<RegistryUpdate, RegistryError> {
+        let mut is_repeated = false;
         loop {
             let before = *contacts.borrow_and_update();
-            let mut call = pin!(self.read_or_watch());
+            let mut call = pin!(self.read_or_watch(is_repeated));
             let outcome = loop {
                 tokio::select! {
-                    result = &mut call => return result,
+                    result = &mut call => match result {
+                        // A single lost reply does not show that the registry is unavailable.
+                        Err(RegistryError::Unreachable(reason)) if self.may_repeat(is_repeated) => {
+                            info!(self.gateway.log, "registry_sync: a watch got no reply; asking again";
+                                "error" => reason);
+                            is_repeated = true;
+                            break CallInFlight::Restarts;
+                        }
+                        result => return result,
+                    },
                     Ok(()) = contacts.changed() => {
                         let contact = *contacts.borrow_and_update();
                         let era = self.registry_view.revision().era;
@@ -60,9 +70,13 @@
         }
     }
 
-    async fn read_or_watch(&self) -> Result<RegistryUpdate, RegistryError> {
+    /// Reads everything or watches. A watch that `is_repeated` does not wait.
+    async fn read_or_watch(&self, is_repeated: bool) -> Result<RegistryUpdate, RegistryError> {
         let wait = match self.availability {
-            Availability::Available => WATCH_TIMEOUT,
+            _ if is_repeated => Duration::ZERO,
+            Availability::Available => {
+                sync_source::watch_time(self.gateway.settings.apply_timeout, WATCH_REPLY_TIMEOUT)
+            }
             Availability::Unknown => UNKNOWN_WATCH_TIMEOUT,
             Availability::Unavailable => Duration::ZERO,
         };
@@ -72,10 +86,23 @@
                     .read_all(self.consistency, self.read_timeout())
                     .await
             }
-            Some(revision) => self.registry.watch(revision, wait).await,
+            Some(revision) if wait.is_zero() => {
+                self.registry.watch(revision, wait, READ_TIMEOUT).await
+            }
+            Some(revision) => {
+                self.registry
+                    .watch(revision, wait, wait + WATCH_REPLY_TIMEOUT)
+                    .await
+            }
         }
     }
 
+    /// Returns whether a watch without a reply is made again before the registry counts as
+    /// unavailable.
+    fn may_repeat(&self, is_repeated: bool) -> bool {
+        !is_repeated && self.revision.is_some() && self.availability != Availability::Unavailable
+    }
+
     /// Returns whether the shorter timeout and delay of a host without routes apply.
     pub(super) fn is_starting(&self) -> bool {
         !self.registry_view.has_routes() && self.failures < MAX_START_ATTEMPTS
--- a/src/policy/sync_source.rs
+++ b/src/policy/sync_source.rs
@@ -55,6 +55,20 @@
 /// seconds after the registry is available again.
 const MAX_DELAY_DOUBLINGS: u32 = 3;
 
+/// Delay between two watches, as a share of the time within which a change must take effect.
+/// One watch then returns the changes of many leaves and hosts that start or stop together.
+const WATCH_DELAY_RATIO: f64 = 0.16;
+
+/// Largest share of that time that passes, in all, until a change is known of which the first
+/// reply was lost.
+const LOST_REPLY_RATIO: f64 = 0.98;
+
+/// Shortest time for which a watch waits.
+const MIN_WATCH_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for which a watch waits.
+const MAX_WATCH_TIME: Duration = Duration::from_secs(10);
+
 /// Where a host gets registry updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -167,6 +181,24 @@
     age <= MAX_INITIAL_AGE
 }
 
+/// Returns the delay between two watches, when a change must take effect within
+/// `apply_timeout`.
+#[must_use]
+pub fn watch_delay(apply_timeout: Duration) -> Duration {
+    apply_timeout.mul_f64(WATCH_DELAY_RATIO)
+}
+
+/// Returns the time for which a watch waits for a change. A reply may be lost while its
+/// connection stays open: the watch is given up `reply_timeout` after this time, and the change
+/// must still take effect within `apply_timeout`.
+#[must_use]
+pub fn watch_time(apply_timeout: Duration, reply_timeout: Duration) -> Duration {
+    let longest = apply_timeout.mul_f64(LOST_REPLY_RATIO);
+    longest
+        .saturating_sub(watch_delay(apply_timeout) + reply_timeout)
+        .clamp(MIN_WATCH_TIME, MAX_WATCH_TIME)
+}
+
 /// Returns the delay after `failures` calls in a row without a registry response.
 #[must_use]
 pub fn retry_delay(failures: u32) -> Duration {
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -107,13 +107,14 @@
         call_timeout: Duration,
     ) -> impl Future<Output = Result<RegistryUpdate, RegistryError>> + Send;
 
-    /// Waits up to `wait` for changes after `revision`; returns as soon as there are any. The
-    /// revision of the result is of another era when the registry was restored: then the
-    /// changes don't continue from `revision`.
+    /// Waits up to `wait` for changes after `revision`; returns as soon as there are any, and
+    /// fails without a reply within `call_timeout`. The revision of the result is of another era
+    /// when the registry was restored: then the changes don't continue from `revision`.
     fn watch(
         &self,
         revision: Revision,
         wait: Duration,
+        call_timeout: Duration,
     ) -> impl Future<Output = Result<RegistryUpdate, RegistryError>> + Send;
 
     /// Returns, within `call_timeout`, whether there are more entry hosts than one page of
