Write a host's entry again under the same lease after a lost reply

Callers saw: nothing at once.

Cause: a call without a reply may take effect seconds later. The host registered again under a new lease; the late write of before put the entry back under the first lease, which nobody renewed, and the registry removed it when that lease ended.

Change: Registry::register is split into grant_lease and register; a write without a reply is made again under the same lease, so that it does not matter which of the two takes effect last.

--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -56,6 +56,14 @@
     pub lease: Option<Lease>,
 }
 
+/// The lease of this host's entry.
+#[derive(Clone, Copy, Debug)]
+struct HeldLease {
+    lease: Lease,
+    /// Whether the entry is known to be written under it.
+    is_written: bool,
+}
+
 /// Keeps this host registered until `stop`. `own_entry` delivers the lease of an earlier
 /// process of this host, if its entry still exists, and later what a restored registry has
 /// of this host.
@@ -79,18 +87,18 @@
     };
     // Without a copy of the registry in time, the host registers anew.
     let _ = timeout(PREVIOUS_LEASE_TIMEOUT, own_entry.changed()).await;
-    let mut lease = own_entry.borrow_and_update().and_then(|entry| entry.lease);
+    let found = own_entry.borrow_and_update().and_then(|entry| entry.lease);
+    let mut held = found.map(HeldLease::of_entry);
     let mut failures = 0;
     let mut awaits_copy = false;
     while !stop.is_cancelled() {
         let started = Millis::now();
-        let delay = match renew_or_register(&*registry, &member, lease).await {
-            Ok(current) => {
-                lease = Some(current);
+        let delay = match renew_or_register(&*registry, &member, &mut held).await {
+            Ok(era) => {
                 gateway.registry_copy.record_contact(started);
                 failures = 0;
                 awaits_copy = false;
-                record_response(&gateway, current.era);
+                record_response(&gateway, era);
                 renewal_interval(&gateway)
             }
             // The sync reads the restored registry and tells whether this host's entry is in it.
@@ -104,7 +112,7 @@
                     gateway.log,
                     "registration: this host's lease has expired; registering again"
                 );
-                lease = None;
+                held = None;
                 Duration::ZERO
             }
             Err(error) => {
@@ -127,8 +135,8 @@
             Ok(()) = own_entry.changed() => {
                 let found = *own_entry.borrow_and_update();
                 // A lease that this host got since the restore may not be in the copy.
-                if let Some(found) = found && !lease.is_some_and(|lease| lease.is_valid_in(found.era)) {
-                    lease = found.lease;
+                if let Some(found) = found && !held.is_some_and(|held| held.lease.is_valid_in(found.era)) {
+                    held = found.lease.map(HeldLease::of_entry);
                     // The registry limits the rate at which all hosts write.
                     sleep(MAX_REGISTRATION_DELAY.mul_f64(rand::random())).await;
                 }
@@ -151,22 +159,49 @@
     });
 }
 
-/// Renews `lease`, or writes the entry under a new lease without one.
+impl HeldLease {
+    /// Returns the lease of an entry that is in the registry.
+    fn of_entry(lease: Lease) -> Self {
+        Self {
+            lease,
+            is_written: true,
+        }
+    }
+}
+
+/// Renews the lease in `held`, or writes the entry under it; without one, a lease is granted
+/// first. Returns the era of the registry.
+///
+/// A write without a reply is made again under the same lease: the first one may take effect
+/// later and must not put the entry under a lease that nobody renews.
 async fn renew_or_register<R: Registry>(
     registry: &R,
     member: &Member,
-    lease: Option<Lease>,
-) -> Result<Lease, RegistryError> {
-    match lease {
-        Some(lease) => {
-            let era = renew(registry, lease).await?;
-            if lease.is_valid_in(era) {
-                return Ok(lease);
-            }
-            Err(RegistryError::Restored(era))
-        }
-        None => registry.register(member, LEASE_TTL).await,
+    held: &mut Option<HeldLease>,
+) -> Result<u64, RegistryError> {
+    let mut current = match *held {
+        Some(current) => current,
+        None => HeldLease {
+            lease: registry.grant_lease(LEASE_TTL).await?,
+            is_written: false,
+        },
+    };
+    *held = Some(current);
+    let era = if current.is_written {
+        renew(registry, current.lease).await?
+    } else {
+        let member = Member {
+            lease: current.lease.id,
+            ..member.clone()
+        };
+        registry.register(&member).await?
+    };
+    if !current.lease.is_valid_in(era) {
+        return Err(RegistryError::Restored(era));
     }
+    current.is_written = true;
+    *held = Some(current);
+    Ok(era)
 }
 
 /// Renews `lease`; makes the call twice when the first reply is late. Returns the era of the
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -127,14 +127,16 @@
     /// Makes the cheapest call, to check whether the registry is available.
     fn probe(&self) -> impl Future<Output = Result<(), RegistryError>> + Send;
 
-    /// Registers this host: writes its entry under a new lease of `length`. The era of the
-    /// result is the lowest of those of the calls that this takes.
-    fn register(
+    /// Grants a lease that ends after `ttl` without a renewal.
+    fn grant_lease(
         &self,
-        member: &Member,
-        length: Duration,
+        ttl: Duration,
     ) -> impl Future<Output = Result<Lease, RegistryError>> + Send;
 
+    /// Registers this host: writes its entry, which names its lease, under that lease. Returns
+    /// the era of the registry. A call without a reply may take effect later.
+    fn register(&self, member: &Member) -> impl Future<Output = Result<u64, RegistryError>> + Send;
+
     /// Renews the lease with the id of `lease`; returns the era of the registry.
     fn renew(&self, lease: Lease) -> impl Future<Output = Result<u64, RegistryError>> + Send;
 }
