Bound the times of an entry, so that an odd one costs only itself

Callers saw: nothing at first. One entry among those of the leaves with warmup_remaining_ms between 9.3e21 and 1.8e22 ended the registry sync of every host by a panic; the hosts stayed ready and saw no change again, and a host that started then was never ready.

Cause: the time is a valid duration, but adding it to the present time overflows.

--- a/src/state/warmup.rs
+++ b/src/state/warmup.rs
@@ -2,6 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+/// Longest warm-up time that is kept: no leaf is cold for longer.
+const MAX_WARMUP_TIME: Duration = Duration::from_hours(24);
+
 /// How long a leaf stays cold, and when this host may send it the next request until then.
 #[derive(Debug, Default)]
 pub struct Warmup {
@@ -20,7 +23,7 @@
             return;
         }
         self.last_reported = Some(left);
-        self.cold_until = (!left.is_zero()).then(|| now + left);
+        self.cold_until = (!left.is_zero()).then(|| now + left.min(MAX_WARMUP_TIME));
     }
 
     /// Returns whether the leaf is cold.
