Bound the figures that a leaf states in its replies

Callers saw: 504 at the end of their time for a request that ran and was answered, when the leaf's Keep-Alive stated 2^64-1 seconds.

Cause: the idle timeout was added to the present time as it was; the overflow ended the attempt's task without a result.

Change: an idle timeout counts up to an hour, a rate limit up to 1e9 a second; the sum of running and waiting requests can't overflow.

Evidence: odd_entries::odd_figures_in_replies_end_no_attempt fails before (504 in place of 200) and passes now.

--- a/src/policy/leaf_selection.rs
+++ b/src/policy/leaf_selection.rs
@@ -59,9 +59,9 @@
     #[must_use]
     pub fn cost(&self) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let reported = self
-            .load
-            .map_or(0, |load| load.waiting + load.running.saturating_sub(1));
+        let reported = self.load.map_or(0, |load| {
+            load.waiting.saturating_add(load.running.saturating_sub(1))
+        });
         let queue = f64::from(reported.max(self.in_flight)) / slots;
         let distance = if self.is_local { 1.0 } else { REMOTE_FACTOR };
         let connect = if self.is_connected {
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// Largest rate limit that is kept, requests per second; no host sends as many.
+const MAX_RATE_LIMIT: f64 = 1e9;
+
 /// Header names of one platform.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -68,7 +71,7 @@
     pub fn rate_limit(&self, headers: &HeaderMap) -> Option<f64> {
         let text = headers.get(&self.rate_limit)?.to_str().ok()?;
         let rate: f64 = text.trim().parse().ok()?;
-        (rate.is_finite() && rate >= 0.0).then_some(rate)
+        (rate.is_finite() && rate >= 0.0).then_some(rate.min(MAX_RATE_LIMIT))
     }
 
     /// Returns the digest of a reply; `None` when the header is missing or is not a single word
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -57,6 +57,9 @@
 /// Idle time after which a connection is not reused when the leaf states no timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest idle timeout of a leaf that counts.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
+
 /// Largest body of a reply.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -294,7 +297,7 @@
             .iter()
             .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         let idle_time = match idle_timeout(headers) {
-            Some(stated) => stated.mul_f64(IDLE_TIMEOUT_RATIO),
+            Some(stated) => stated.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_RATIO),
             None => DEFAULT_IDLE_TIMEOUT,
         };
         self.reusable_until = Instant::now() + idle_time;
