Start a failed registry sync again, and be not ready until then

Callers saw: a host whose registry sync had ended by a panic stayed ready with a copy that never changed again.

Cause: nothing waited for the task, and readiness asked only for routes.

Change: the host starts the sync again after a second, with a read of everything; until it publishes a view, the host isn't ready, and serves with what it knows. A log line and briarquay_registry_sync_failures_total tell of it.

Evidence: odd_entries::host_whose_registry_sync_fails_is_not_ready_until_it_is_in_sync_again fails before (never not ready) and passes now.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -94,6 +94,8 @@
     synced_at: AtomicU64,
     /// Whether this host syncs from another host.
     is_follower: AtomicBool,
+    /// Whether the registry sync has failed and not published a view since.
+    is_out_of_sync: AtomicBool,
     /// Notified when this host syncs from the registry again instead of from another host.
     pub registry_resumed: Notify,
 }
@@ -121,6 +123,7 @@
             subqueries: TaskTracker::new(),
             synced_at: AtomicU64::new(Millis::now().0),
             is_follower: AtomicBool::new(false),
+            is_out_of_sync: AtomicBool::new(false),
             registry_resumed: Notify::new(),
         })
     }
@@ -150,6 +153,13 @@
     /// Replaces the view for requests that start from now on.
     pub fn publish_view(&self, view: View) {
         self.view.store(Arc::new(view));
+        self.is_out_of_sync.store(false, Ordering::Relaxed);
+    }
+
+    /// Records that the registry sync has failed: the host isn't ready until the next view.
+    pub fn record_failed_sync(&self) {
+        self.is_out_of_sync.store(true, Ordering::Relaxed);
+        self.metrics.failed_syncs.inc();
     }
 
     /// Records that the view was current at `at`.
@@ -224,9 +234,11 @@
         }
     }
 
-    /// Returns whether new callers are accepted: the host has routes and is not stopping.
+    /// Returns whether new callers are accepted: the host has routes, its registry sync goes
+    /// on, and it is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.view.load().routes.is_some()
+        let is_out_of_sync = self.is_out_of_sync.load(Ordering::Relaxed);
+        !is_out_of_sync && !self.is_stopping() && self.view.load().routes.is_some()
     }
 }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -4,7 +4,8 @@
     super::{
         Gateway, HostSettings,
         limits::{self, LimitServer},
-        listener, registration,
+        listener,
+        registration::{self, OwnEntry},
         registry_sync::RegistrySync,
         subquery::SubqueryServer,
     },
@@ -20,7 +21,7 @@
         net::{TcpListener, TcpSocket},
         sync::watch,
         task::JoinHandle,
-        time::{Instant, sleep_until, timeout, timeout_at},
+        time::{Instant, sleep, sleep_until, timeout, timeout_at},
     },
     tokio_util::sync::CancellationToken,
 };
@@ -28,6 +29,9 @@
 /// Time for the server for other entry hosts to send what the last subqueries returned.
 const PEERS_STOP_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Delay before a failed registry sync starts again with a read of all entries.
+const SYNC_RESTART_DELAY: Duration = Duration::from_secs(1);
+
 /// Connections per listener that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -82,9 +86,12 @@
         let serve_peers = |peers| serve_peers(peers, Arc::clone(&gateway), tasks_stop.clone());
         let peers = peers.map(|peers| tokio::spawn(serve_peers(peers)));
         let (entry_sender, own_entry) = watch::channel(None);
-        let registry_sync =
-            RegistrySync::new(Arc::clone(&gateway), Arc::clone(&registry), entry_sender);
-        tokio::spawn(registry_sync.run(tasks_stop.clone()));
+        tokio::spawn(keep_in_sync(
+            Arc::clone(&gateway),
+            Arc::clone(&registry),
+            entry_sender,
+            tasks_stop.clone(),
+        ));
         tokio::spawn(limits::claim_shares(
             Arc::clone(&gateway),
             tasks_stop.clone(),
@@ -144,6 +151,29 @@
     }
 }
 
+/// Runs the registry sync until `stop`, and starts it again if it panics: an entry that it can't
+/// handle must not leave the host with a copy that never changes.
+async fn keep_in_sync<R: Registry>(
+    gateway: Arc<Gateway>,
+    registry: Arc<R>,
+    own_entry: watch::Sender<Option<OwnEntry>>,
+    stop: CancellationToken,
+) {
+    loop {
+        let sync = RegistrySync::new(
+            Arc::clone(&gateway),
+            Arc::clone(&registry),
+            own_entry.clone(),
+        );
+        let Err(failure) = tokio::spawn(sync.run(stop.clone())).await else {
+            return;
+        };
+        gateway.record_failed_sync();
+        error!(gateway.log, "host: registry sync failed; it starts again"; "error" => %failure);
+        sleep(SYNC_RESTART_DELAY).await;
+    }
+}
+
 /// Serves other entry hosts until `stop`.
 async fn serve_peers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
     let subqueries = SubqueryServer(Arc::clone(&gateway));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -32,6 +32,8 @@
     missing_shards: IntCounterVec,
     subqueries: IntCounterVec,
     registry_calls: IntCounterVec,
+    /// Failures of the registry sync.
+    pub failed_syncs: IntCounter,
     /// Version of the routes in force.
     pub version: IntGauge,
     /// Usable leaves.
@@ -181,6 +183,12 @@
                 "Calls to the registry by result",
                 &["result"],
             )?,
+            failed_syncs: counters(
+                "registry_sync_failures_total",
+                "Failures of the registry sync, after which it starts again",
+                &["cause"],
+            )?
+            .with_label_values(&["panic"]),
             version: gauge("routes_version", "Version of the routes in force")?,
             leaves: gauge("usable_leaves", "Leaves that may get requests")?,
             hosts: gauge("entry_hosts", "Entry hosts that share the fleet's limits")?,
