Give up a host's share of the retry budget before others stop counting it

Callers saw: nothing; leaves got more attempts beyond the first in ten seconds than the fleet's budget allows (a report from real processes, without logs).

Cause: the budget is divided by the hosts with an entry in the store. A store that turns some hosts away may end their leases while they serve: ten seconds later the others divided the whole budget, and those hosts used their shares as well.

Change: a host counts for a minute after its entry is gone, and gives up its share a minute after its last renewal. It has none before it is registered.

Whether this is what the report saw is not known.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,6 +31,8 @@
 pub mod subquery;
 pub mod view;
 
+use self::view::lock;
+
 pub use self::{
     limits::LimitSharing,
     metrics::Metrics,
@@ -46,6 +48,7 @@
             sync_source::{RegistryContact, Source},
         },
         protocol::dialect::Dialect,
+        state::{fleet_budget::BudgetShare, host_count::OwnCount},
         transport::{fleet::RegistryCopy, leaf::ReplyBuffers},
     },
     arc_swap::ArcSwap,
@@ -53,7 +56,7 @@
     slog::{Logger, info},
     std::{
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
@@ -94,6 +97,8 @@
     synced_at: AtomicU64,
     /// Whether this host syncs from another host.
     is_follower: AtomicBool,
+    /// Whether the other hosts count this one.
+    own_count: Mutex<OwnCount>,
     /// Whether the registry sync has failed and not published a view since.
     is_out_of_sync: AtomicBool,
     /// Notified when this host syncs from the registry again instead of from another host.
@@ -123,6 +128,7 @@
             subqueries: TaskTracker::new(),
             synced_at: AtomicU64::new(Millis::now().0),
             is_follower: AtomicBool::new(false),
+            own_count: Mutex::default(),
             is_out_of_sync: AtomicBool::new(false),
             registry_resumed: Notify::new(),
         })
@@ -162,6 +168,22 @@
         self.metrics.failed_syncs.inc();
     }
 
+    /// Records that the registry granted or renewed this host's lease at `at`.
+    pub fn record_renewal(&self, at: Millis) {
+        lock(&self.own_count).record_renewal(at);
+    }
+
+    /// Returns this host's share of a fleet retry budget of which the view states `share`: none
+    /// while the other hosts may not count this one.
+    #[must_use]
+    pub fn budget_share(&self, share: BudgetShare) -> BudgetShare {
+        if lock(&self.own_count).is_counted(Millis::now()) {
+            share
+        } else {
+            BudgetShare::OtherHosts
+        }
+    }
+
     /// Records that the view was current at `at`.
     pub fn record_sync(&self, at: Millis) {
         self.synced_at.store(at.0, Ordering::Relaxed);
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -463,7 +463,7 @@
             let mut budget = lock(&service.retry_budget);
             budget.earn(
                 &self.gateway.reloaded().retry_budget,
-                service.budget_share,
+                self.gateway.budget_share(service.budget_share),
                 now,
             );
         }
@@ -476,7 +476,7 @@
         let mut budget = lock(&service.retry_budget);
         budget.spend(
             &self.gateway.reloaded().retry_budget,
-            service.budget_share,
+            self.gateway.budget_share(service.budget_share),
             now,
         )
     }
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -96,6 +96,7 @@
         let delay = match renew_or_register(&*registry, &member, &mut held).await {
             Ok(era) => {
                 gateway.registry_copy.record_contact(started);
+                gateway.record_renewal(started);
                 failures = 0;
                 awaits_copy = false;
                 record_response(&gateway, era);
--- a/src/gateway/registry_view.rs
+++ b/src/gateway/registry_view.rs
@@ -30,10 +30,14 @@
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
+/// Time for which helpers still count that are no longer chosen: their retries count against
+/// the fleet retry budget for that long.
+const HELPER_COUNT_TTL: Duration = Duration::from_secs(10);
+
 /// A host's copy of the registry, with the state that outlives a view.
 #[derive(Default)]
 pub struct RegistryView {
@@ -274,7 +278,8 @@
             let share = match self.helpers.share(&gateway.settings.id, count) {
                 // Hosts that ended a moment ago may have spent their share of the budget.
                 Some(BudgetShare::DividedAmong(helpers)) => {
-                    let recent = self.helper_counts.entry(count).or_default();
+                    let recent = self.helper_counts.entry(count);
+                    let recent = recent.or_insert_with(|| HostCount::new(HELPER_COUNT_TTL));
                     BudgetShare::DividedAmong(recent.record_count(helpers, now))
                 }
                 Some(BudgetShare::OtherHosts) => BudgetShare::OtherHosts,
--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -7,7 +7,7 @@
         clock::Millis,
         state::{
             fleet_budget::{BudgetShare, FleetBudget, HostBudget},
-            host_count::{HOST_COUNT_TTL, HostCount},
+            host_count::{HOST_COUNT_TTL, HostCount, OwnCount},
             warmup::Warmup,
         },
     },
@@ -188,6 +188,31 @@
     );
 }
 
+/// The registry ends the leases of some hosts, which serve on and can't tell. Guards against
+/// others that divide the whole budget while these still use their shares.
+#[test]
+fn a_host_gives_up_its_share_before_the_others_stop_counting_it() {
+    let mut seen_by_others = HostCount::default();
+    let mut own = OwnCount::default();
+    let renewed = Millis(100_000);
+    own.record_renewal(renewed);
+    seen_by_others.record_count(9, renewed);
+    for second in 0..200 {
+        let now = renewed.plus(Duration::from_secs(second));
+        let count = seen_by_others.record_count(3, now);
+        assert!(!own.is_counted(now) || count == 9, "after {second} s");
+    }
+}
+
+#[test]
+fn a_host_has_no_share_before_it_is_registered() {
+    let mut own = OwnCount::default();
+    let start = Millis(50_000);
+    assert!(!own.is_counted(start));
+    own.record_renewal(start);
+    assert!(own.is_counted(start));
+}
+
 #[test]
 fn an_unknown_host_count_is_taken_to_be_large() {
     assert!(HostCount::default().record_count(0, Millis(0)) > 9);
