--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -87,7 +87,7 @@
     id.unwrap_or_default().into()
 }
 
-/// Rejects a request that has no route yet, or no body.
+/// Rejects a request that has no route or no whole body yet.
 fn reject(gateway: &Gateway, id: &str, reason: Reason) -> FullResponse {
     let retry_after = rejection::retry_after(reason, None);
     info!(gateway.log, "serve: refused"; "request" => id,
--- a/src/gateway/subquery.rs
+++ b/src/gateway/subquery.rs
@@ -230,10 +230,10 @@
         );
         // Yields once, so that the acceptance is sent before the first attempts start.
         let acceptance = stream::once(tokio::task::yield_now()).flat_map(|()| stream::empty());
-        // A stop waits for subqueries with a token.
+        // A stop waits until the token is dropped, with the stream.
         let token = gateway.subqueries.token();
         let partials = acceptance.chain(partials).inspect(move |_| {
-            let _held = &token;
+            let _ = &token;
         });
         Ok(partials.boxed())
     }
