Count attempts that may still arrive against the retry budget

Callers saw: nothing more; leaves that froze and ran again got more attempts beyond the first in ten seconds than the fleet's budget allows.

Cause: the budget counts an attempt when it is sent, the leaf when it reads it. A frozen leaf reads what came in many windows at once, also from connections that were closed since.

Change: a host remembers of each leaf the attempts that ended without a reply since the leaf last replied or closed a connection, for a minute at most; they take room of the service's budget.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -185,6 +185,14 @@
 
     fn record_outcome(&self, dialect: &Dialect, in_flight: &InFlight, outcome: &Outcome) {
         let now = Instant::now();
+        match outcome {
+            Outcome::Replied(_) => in_flight.record_contact(),
+            Outcome::Failed(failed) => match failed.failure.cause {
+                Cause::Deadline => in_flight.record_silence(now),
+                Cause::Overloaded | Cause::Unreachable => {}
+                _ => in_flight.record_contact(),
+            },
+        }
         match outcome {
             Outcome::Replied(reply) if reply.status.is_server_error() => {
                 in_flight.record_failure(now);
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -473,10 +473,13 @@
         let Some(service) = &self.services[index].handle else {
             return false;
         };
+        let leaves = service.leaves.iter();
+        let unanswered = leaves.map(|leaf| leaf.unanswered(now)).sum();
         let mut budget = lock(&service.retry_budget);
         budget.spend(
             &self.gateway.reloaded().retry_budget,
             self.gateway.budget_share(service.budget_share),
+            unanswered,
             now,
         )
     }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -20,6 +20,7 @@
     },
     hyper::header::HeaderValue,
     std::{
+        collections::VecDeque,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
@@ -31,6 +32,13 @@
 /// Time for which a leaf that rejected a request as full is chosen last.
 const FULL_BACKOFF: Duration = Duration::from_millis(100);
 
+/// Time for which an attempt without a reply may still reach its leaf, which reads it when it
+/// runs again.
+const UNANSWERED_TTL: Duration = Duration::from_mins(1);
+
+/// Attempts without a reply that are remembered of a leaf.
+const MAX_UNANSWERED: usize = 256;
+
 /// Share of a leaf's connections that the counted hosts divide; the rest is for hosts that
 /// have just started and are not counted yet.
 const CONNECTION_RATIO: f64 = 0.9;
@@ -96,6 +104,8 @@
     /// When the leaf last rejected a request as full.
     full_at: Option<Instant>,
     rejections: RejectionRate,
+    /// When attempts ended without a reply, since the leaf last showed that it runs.
+    unanswered: VecDeque<Instant>,
     in_flight: Vec<Attempt>,
     next_number: u64,
     warmup: Warmup,
@@ -336,6 +346,15 @@
         (before, stats.stated_limit.rate)
     }
 
+    /// Returns how many attempts may still reach the leaf, though they have ended: it has
+    /// not shown since that it runs.
+    #[must_use]
+    pub fn unanswered(&self, now: Instant) -> usize {
+        let stats = lock(&self.stats);
+        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < UNANSWERED_TTL;
+        stats.unanswered.iter().filter(is_recent).count()
+    }
+
     /// Counts an attempt that is about to be sent; `baseline` is the baseline latency of the
     /// request's replies.
     #[must_use]
@@ -424,6 +443,20 @@
     pub fn record_failure(&self, now: Instant) {
         lock(&self.leaf.stats).latency.record_failure(now);
     }
+
+    /// Records that the attempt ended without a reply: the leaf may still read the request.
+    pub fn record_silence(&self, now: Instant) {
+        let mut stats = lock(&self.leaf.stats);
+        if stats.unanswered.len() >= MAX_UNANSWERED {
+            stats.unanswered.pop_front();
+        }
+        stats.unanswered.push_back(now);
+    }
+
+    /// Records that the leaf runs, since it replied or closed the connection.
+    pub fn record_contact(&self) {
+        lock(&self.leaf.stats).unanswered.clear();
+    }
 }
 
 impl Drop for InFlight {
--- a/src/state/fleet_budget.rs
+++ b/src/state/fleet_budget.rs
@@ -78,9 +78,20 @@
             (self.tokens + fleet.ratio * RATIO_MARGIN_FACTOR).min(max_tokens(fleet, share));
     }
 
-    /// Takes one attempt; false when none is left.
-    pub fn spend(&mut self, fleet: &FleetBudget, share: BudgetShare, now: Instant) -> bool {
+    /// Takes one attempt; false when none is left. Of the attempts before, `unanswered` may still
+    /// reach leaves that don't run at present, all of them in one window: they count as attempts
+    /// of the window that begins now.
+    pub fn spend(
+        &mut self,
+        fleet: &FleetBudget,
+        share: BudgetShare,
+        unanswered: usize,
+        now: Instant,
+    ) -> bool {
         self.refill(fleet, share, now);
+        #[expect(clippy::cast_precision_loss, reason = "numbers of attempts are small")]
+        let room = max_tokens(fleet, share) - unanswered as f64;
+        self.tokens = self.tokens.min(room.max(0.0));
         let has_token = self.tokens >= 1.0;
         if has_token {
             self.tokens -= 1.0;
--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -41,7 +41,7 @@
             budget.earn(&FLEET, share, now);
         }
         let mut sent = 0;
-        while budget.spend(&FLEET, share, now) {
+        while budget.spend(&FLEET, share, 0, now) {
             sent += 1;
         }
         retries.push(sent);
@@ -96,7 +96,7 @@
 fn a_starting_host_has_no_retry_budget() {
     let now = Instant::now();
     let mut budget = HostBudget::new(now);
-    assert!(!budget.spend(&FLEET, BudgetShare::DividedAmong(9), now));
+    assert!(!budget.spend(&FLEET, BudgetShare::DividedAmong(9), 0, now));
 }
 
 /// A resharding adds 270 services at once, whose leaves 25 hosts query for a fleet of 295.
@@ -111,7 +111,7 @@
     let share = BudgetShare::DividedAmong(25);
     let mut budget = HostBudget::full(&fleet, share, now);
     let sent = (0..100)
-        .filter(|_| budget.spend(&fleet, share, now))
+        .filter(|_| budget.spend(&fleet, share, 0, now))
         .count();
     assert!((10..=13).contains(&sent), "half of 630 among 25: {sent}");
 
@@ -119,6 +119,7 @@
     assert!(!other.spend(
         &fleet,
         BudgetShare::OtherHosts,
+        0,
         now + Duration::from_mins(1)
     ));
 }
@@ -131,6 +132,7 @@
     assert!(budget.spend(
         &FLEET,
         BudgetShare::DividedAmong(9),
+        0,
         start + Duration::from_secs(5)
     ));
 }
@@ -204,6 +206,32 @@
     }
 }
 
+/// Leaves that froze read, when they run again, all that was sent to them meanwhile. Guards
+/// against a budget that counts attempts only when they are sent.
+#[test]
+fn attempts_that_may_still_arrive_count_as_attempts_of_the_next_window() {
+    let share = BudgetShare::DividedAmong(9);
+    let start = Instant::now();
+    let mut budget = HostBudget::new(start);
+    let mut unanswered = 0;
+    for second in 0..60 {
+        let now = start + Duration::from_secs(second);
+        while budget.spend(&FLEET, share, unanswered, now) {
+            unanswered += 1;
+        }
+    }
+    // The leaves run again, and the host retries as much as it may.
+    let woken = start + Duration::from_mins(1);
+    let mut arrivals = unanswered;
+    for tenth in 0..100 {
+        let now = woken + Duration::from_millis(100) * tenth;
+        while budget.spend(&FLEET, share, 0, now) {
+            arrivals += 1;
+        }
+    }
+    assert!(arrivals * 9 <= 58, "{arrivals} of one of nine hosts");
+}
+
 #[test]
 fn a_host_has_no_share_before_it_is_registered() {
     let mut own = OwnCount::default();
