Log when a stopping host read a request, and what ended its connection

Callers saw requests without an answer around SIGTERM, and the host's log had no line that named them. The hypotheses of docs/incidents/no-answer-around-sigterm.md could not be told apart.

Cause: the log had a line when a response was decided, none when a request was read, and errors of connections to callers were dropped.

Change: each connection keeps a record of its last request (gateway/caller_connection.rs). "serve: request read while stopping" tells when after the signal a request was read and what was decided; "serve: answered" has the time since the signal; "listener: connection ended" names the request, how far its response got (stage, bytes written) and what ended the connection. It is written for each connection of a stop and, at any time, for one whose last request got no whole response; these are counted in briarquay_unanswered_total{cause}. Connections now end themselves at the end of the stop time, where the whole process dropped them at the same moment before, so that the log names those that are cut.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,7 +3,7 @@
 //!
 //! A request passes these modules, from the caller's listener to the response:
 //!
-//! 1. [`listener`] reads it from the caller;
+//! 1. [`listener`] reads it from the caller, and [`caller_connection`] records what became of it;
 //! 2. [`serve`] finds its route and rejects what can't be served;
 //! 3. [`hedged_request`] sends it to leaves, hedges slow attempts with other leaves, and waits as
 //!    [`policy`](crate::policy) decides;
@@ -15,6 +15,7 @@
 //! result as a [`View`]; [`registration`] keeps this host registered.
 
 pub mod attempt;
+pub mod caller_connection;
 pub mod gather;
 pub mod hedged_request;
 pub mod helpers;
@@ -218,6 +219,19 @@
         self.stop_schedule.borrow().is_some()
     }
 
+    /// Returns the time since the host was told to stop; `None` while it is not stopping.
+    #[must_use]
+    pub fn stopping_time(&self) -> Option<Duration> {
+        let schedule = *self.stop_schedule.borrow();
+        schedule.map(|schedule| schedule.start.elapsed())
+    }
+
+    /// Returns the times of the stop; `None` while the host is not stopping.
+    #[must_use]
+    pub fn stop_schedule(&self) -> Option<StopSchedule> {
+        *self.stop_schedule.borrow()
+    }
+
     /// Marks the host as stopping: it is no longer ready, and its followers look for another
     /// source. Returns the times of the stop.
     pub fn stop(&self) -> StopSchedule {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Gateway, HostSettings,
+        caller_connection::End,
         limits::{self, LimitServer},
         listener,
         registration::{self, OwnEntry},
@@ -132,12 +133,16 @@
     /// requests that can end in time while the load balancer sends callers elsewhere, and
     /// completes the requests and the subqueries in flight.
     pub async fn stop(mut self) {
-        info!(self.gateway.log, "host: stopping");
         let started = Instant::now();
         let schedule = self.gateway.stop();
+        let after = |at: std::time::Instant| millis(at.saturating_duration_since(schedule.start));
+        info!(self.gateway.log, "host: stopping"; "accept_ms" => after(schedule.accept_until),
+            "respond_ms" => after(schedule.respond_by), "end_ms" => after(schedule.end));
         sleep_until(schedule.accept_until.into()).await;
         self.callers_stop.cancel();
-        let callers = timeout_at(schedule.end.into(), &mut self.callers).await;
+        // Each connection ends by itself, at the end of the stop time at the latest.
+        let _ = (&mut self.callers).await;
+        let unanswered = self.gateway.metrics.unanswered_count(End::HostEnded);
         self.gateway.subqueries.close();
         let subqueries = timeout_at(schedule.end.into(), self.gateway.subqueries.wait()).await;
         self.registration.abort();
@@ -146,7 +151,8 @@
             // Connections of hosts that don't close them would keep the server running.
             let _ = timeout(PEERS_STOP_TIMEOUT, peers).await;
         }
-        info!(self.gateway.log, "host: stopped"; "all_answered" => callers.is_ok(),
+        info!(self.gateway.log, "host: stopped"; "all_answered" => unanswered == 0,
+            "unanswered" => unanswered,
             "subqueries_ended" => subqueries.is_ok(), "took_ms" => millis(started.elapsed()));
     }
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Gateway,
+        caller_connection::{ConnectionRecord, End, EndGuard, RecordedStream},
         response::{self, FullResponse},
         serve,
     },
@@ -28,7 +29,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         task::yield_now,
-        time::timeout,
+        time::{Instant, timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -50,58 +51,80 @@
 /// loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// HTTP connection of a caller.
+type Connection<H> = http1::Connection<TokioIo<RecordedStream>, Handler<H>>;
+
 /// Serves callers until `stop` is cancelled; returns after the last response is sent.
 pub async fn callers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
-    accept_connections(listener, Arc::clone(&gateway), stop, move |request| {
-        let gateway = Arc::clone(&gateway);
-        async move {
-            let mut response = serve::handle_request(&gateway, request).await;
-            if gateway.is_stopping() {
-                // The caller must send its next request to another host.
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
+    accept_connections(
+        "callers",
+        listener,
+        Arc::clone(&gateway),
+        stop,
+        move |request| {
+            let gateway = Arc::clone(&gateway);
+            async move {
+                let mut response = serve::handle_request(&gateway, request).await;
+                if gateway.is_stopping() {
+                    // The caller must send its next request to another host.
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                response
             }
-            response
-        }
-    })
+        },
+    )
     .await;
 }
 
 /// Serves the load balancer's readiness checks until `stop` is cancelled: 200 while this
 /// host takes new callers, otherwise 503.
 pub async fn readiness(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
-    accept_connections(listener, Arc::clone(&gateway), stop, move |request| {
-        let is_ready_path = request.uri().path() == &*gateway.settings.ready_path;
-        let response = match (is_ready_path, gateway.is_ready()) {
-            (false, _) => response::plain_text(StatusCode::NOT_FOUND, "not found"),
-            (true, true) => response::plain_text(StatusCode::OK, "ready"),
-            (true, false) => response::plain_text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-        };
-        async move { response }
-    })
+    accept_connections(
+        "readiness",
+        listener,
+        Arc::clone(&gateway),
+        stop,
+        move |request| {
+            let is_ready_path = request.uri().path() == &*gateway.settings.ready_path;
+            let response = match (is_ready_path, gateway.is_ready()) {
+                (false, _) => response::plain_text(StatusCode::NOT_FOUND, "not found"),
+                (true, true) => response::plain_text(StatusCode::OK, "ready"),
+                (true, false) => response::plain_text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            };
+            async move { response }
+        },
+    )
     .await;
 }
 
 /// Serves metrics until `stop` is cancelled.
 pub async fn metrics(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
-    accept_connections(listener, Arc::clone(&gateway), stop, move |request| {
-        let response = match (request.uri().path(), gateway.metrics.text()) {
-            (METRICS_PATH, Ok(text)) => FullResponse::new(Full::new(text.into())),
-            (METRICS_PATH, Err(error)) => {
-                warn!(gateway.log, "listener: metrics encoding failed"; "error" => %error);
-                response::plain_text(
-                    StatusCode::INTERNAL_SERVER_ERROR,
-                    "metrics can't be written",
-                )
-            }
-            _ => response::plain_text(StatusCode::NOT_FOUND, "not found"),
-        };
-        async move { response }
-    })
+    accept_connections(
+        "metrics",
+        listener,
+        Arc::clone(&gateway),
+        stop,
+        move |request| {
+            let response = match (request.uri().path(), gateway.metrics.text()) {
+                (METRICS_PATH, Ok(text)) => FullResponse::new(Full::new(text.into())),
+                (METRICS_PATH, Err(error)) => {
+                    warn!(gateway.log, "listener: metrics encoding failed"; "error" => %error);
+                    response::plain_text(
+                        StatusCode::INTERNAL_SERVER_ERROR,
+                        "metrics can't be written",
+                    )
+                }
+                _ => response::plain_text(StatusCode::NOT_FOUND, "not found"),
+            };
+            async move { response }
+        },
+    )
     .await;
 }
 
 async fn accept_connections<H, F>(
+    name: &'static str,
     listener: TcpListener,
     gateway: Arc<Gateway>,
     stop: CancellationToken,
@@ -113,8 +136,17 @@
     let connections = TaskTracker::new();
     let serve = |stream: TcpStream| {
         let limits = gateway.view().routes.as_ref().map(|routes| routes.limits);
-        let connection = serve_connection(stream, limits.unwrap_or_default(), handler.clone());
-        connections.spawn(run_connection(connection, stop.clone()));
+        let record = Arc::new(ConnectionRecord::new(Arc::clone(&gateway), name));
+        let handler = Handler {
+            handler: handler.clone(),
+            record: Arc::clone(&record),
+        };
+        let connection = serve_connection(stream, limits.unwrap_or_default(), handler);
+        let guard = EndGuard::new(record);
+        let (gateway, stop) = (Arc::clone(&gateway), stop.clone());
+        connections.spawn(async move {
+            guard.finish(run_connection(connection, &gateway, &stop).await);
+        });
     };
     loop {
         let accepted = tokio::select! {
@@ -140,32 +172,37 @@
 }
 
 /// Serves a connection until its peer closes it, or until `stop` is cancelled and the
-/// requests that have arrived by then have their responses.
+/// requests that have arrived by then have their responses or the stop time has ended.
 async fn run_connection<H, F>(
-    connection: http1::Connection<TokioIo<TcpStream>, Handler<H>>,
-    stop: CancellationToken,
-) where
+    connection: Connection<H>,
+    gateway: &Gateway,
+    stop: &CancellationToken,
+) -> End
+where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
     let mut connection = pin!(connection);
-    // A broken connection affects only its own peer, so errors are dropped.
     tokio::select! {
-        _ = connection.as_mut() => return,
+        result = connection.as_mut() => return End::of(&result),
         () = stop.cancelled() => {}
     }
-    if timeout(LAST_READ_TIME, connection.as_mut()).await.is_ok() {
-        return;
+    if let Ok(result) = timeout(LAST_READ_TIME, connection.as_mut()).await {
+        return End::of(&result);
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let end = gateway.stop_schedule().map(|schedule| schedule.end.into());
+    match timeout_at(end.unwrap_or_else(Instant::now), connection).await {
+        Ok(result) => End::of(&result),
+        Err(_) => End::HostEnded,
+    }
 }
 
 fn serve_connection<H, F>(
     stream: TcpStream,
     limits: CallerLimits,
-    handler: H,
-) -> http1::Connection<TokioIo<TcpStream>, Handler<H>>
+    handler: Handler<H>,
+) -> Connection<H>
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
@@ -177,11 +214,17 @@
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), Handler(handler))
+        .serve_connection(
+            TokioIo::new(RecordedStream::new(stream, Arc::clone(&handler.record))),
+            handler,
+        )
 }
 
-/// Adapts a function to hyper's `Service`.
-struct Handler<H>(H);
+/// Adapts a function to hyper's `Service`, for one connection.
+struct Handler<H> {
+    handler: H,
+    record: Arc<ConnectionRecord>,
+}
 
 impl<H, F> Service<Request<Incoming>> for Handler<H>
 where
@@ -193,7 +236,13 @@
     type Future = Pin<Box<dyn Future<Output = Result<FullResponse, Infallible>> + Send>>;
 
     fn call(&self, request: Request<Incoming>) -> Self::Future {
-        let response = (self.0)(request);
-        Box::pin(async move { Ok(response.await) })
+        self.record.record_request(&request);
+        let record = Arc::clone(&self.record);
+        let response = (self.handler)(request);
+        Box::pin(async move {
+            let response = response.await;
+            record.record_response(response.status());
+            Ok(response)
+        })
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of an entry host.
 
 use {
+    super::caller_connection::End,
     crate::{policy::rejection::Reason, protocol::verdict::Cause},
     eyre::Result,
     prometheus::{
@@ -23,6 +24,7 @@
     responses: IntCounterVec,
     latency: HistogramVec,
     rejections: IntCounterVec,
+    unanswered: IntCounterVec,
     attempts: AttemptCounters,
     /// Attempts at leaves that state a rate limit.
     limited_attempts: AttemptCounters,
@@ -155,6 +157,11 @@
             latency,
             responses: counters("responses_total", "Responses by status", &["status"])?,
             rejections: counters("gateway_refusals_total", "Refusals by reason", &["reason"])?,
+            unanswered: counters(
+                "unanswered_total",
+                "Requests whose connection ended before the whole response was written, by cause",
+                &["cause"],
+            )?,
             attempts: AttemptCounters::new(&counters(
                 "sends_total",
                 "Sends to leaves by reason",
@@ -221,6 +228,17 @@
         self.rejections.with_label_values(&[reason.name()]).inc();
     }
 
+    /// Records a request whose connection ended before the whole response was written.
+    pub fn record_unanswered(&self, end: End) {
+        self.unanswered.with_label_values(&[end.name()]).inc();
+    }
+
+    /// Returns the number of requests whose connection ended so because of `end`.
+    #[must_use]
+    pub fn unanswered_count(&self, end: End) -> u64 {
+        self.unanswered.with_label_values(&[end.name()]).get()
+    }
+
     /// Records an attempt, or one that was denied.
     pub fn record_attempt(&self, reason: AttemptReason) {
         self.attempts.get(reason).inc();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -197,9 +197,7 @@
     async fn respond(self, outgoing: OutgoingRequest) -> FullResponse {
         let id = outgoing.id.clone();
         let route = Arc::clone(&self.route);
-        let is_admitted = self
-            .gateway
-            .admits(&self.late_request(&outgoing), Instant::now());
+        let is_admitted = self.admit_late(&outgoing);
         let (response, log) = match &route.destination {
             _ if !is_admitted => self.reject(Reason::Stopping),
             Destination::Split(parts) => self.relay(parts, outgoing).await,
@@ -215,17 +213,31 @@
             "version" => self.version, "known_ms" => millis(self.gateway.view_age()), "status" => status, "took_ms" => millis(took),
             "leaf" => log.leaf.as_deref(), "parts" => log.replies, "of" => log.shards,
             "pieces" => log.subqueries,
-            "left_out" => log.left_out, "reason" => log.reason.map(Reason::name));
+            "left_out" => log.left_out, "reason" => log.reason.map(Reason::name),
+            "stopping_ms" => self.gateway.stopping_time().map(millis));
         response
     }
 
-    fn late_request(&self, outgoing: &OutgoingRequest) -> LateRequest {
+    /// Returns whether the request may be sent to leaves: always, unless this host is stopping.
+    fn admit_late(&self, outgoing: &OutgoingRequest) -> bool {
+        let Some(schedule) = self.gateway.stop_schedule() else {
+            return true;
+        };
+        let now = Instant::now();
         let route_stats = self.view.route_stats.get(&self.route.name);
-        LateRequest {
+        let late_request = LateRequest {
             deadline: outgoing.deadline,
             repeats: self.route.repeats,
             baseline: route_stats.and_then(|route_stats| route_stats.baseline()),
-        }
+        };
+        let is_admitted = schedule.admits(&late_request, now);
+        let until = |at: Instant| millis(at.saturating_duration_since(now));
+        info!(self.gateway.log, "serve: request read while stopping"; "request" => &*outgoing.id,
+            "route" => &*self.route.name, "repeats" => self.route.repeats.name(),
+            "stopping_ms" => millis(now.saturating_duration_since(schedule.start)),
+            "deadline_in_ms" => until(outgoing.deadline), "responses_in_ms" => until(schedule.respond_by),
+            "usual_ms" => late_request.baseline.map(millis), "admitted" => is_admitted);
+        is_admitted
     }
 
     /// Sends a request to one leaf and forwards its reply.
--- a/src/policy/shutdown.rs
+++ b/src/policy/shutdown.rs
@@ -30,6 +30,8 @@
 /// The times of one planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
+    /// Time of the stop signal.
+    pub start: Instant,
     /// Time at which the host stops accepting connections and closes the idle ones.
     pub accept_until: Instant,
     /// Time at which all requests in flight get a response.
@@ -57,6 +59,7 @@
     #[must_use]
     pub fn new(now: Instant, stop_timeout: Duration) -> Self {
         Self {
+            start: now,
             accept_until: now + stop_timeout.mul_f64(ACCEPTING_RATIO),
             respond_by: now + stop_timeout.mul_f64(RESPONSE_RATIO),
             end: now + stop_timeout.mul_f64(END_RATIO),
