Tests: a daemon drops requests unread at the close of a planned stop (failing)

At the close, callers of a stopping daemon lose requests that have already arrived: on idle connections, on connections without a request so far, and on connections that the kernel has accepted and the daemon hasn't.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod ownership;
 mod partitions;
 mod parts;
+mod planned_stops;
 mod policy;
 mod processes;
 mod roster;
