--- a/standin/src/client.rs
+++ b/standin/src/client.rs
@@ -116,10 +116,8 @@
             tokio::time::timeout(ask.deadline + RESPONSE_GRACE, self.send_request(ask)).await;
         let mut got = match outcome {
             Ok(Ok((status, body))) => parse_response(status, &body),
-            Ok(Err(_)) | Err(_) => CallerGot {
-                run: "may_have_run".to_owned(),
-                ..CallerGot::default()
-            },
+            Ok(Err(error)) => no_response(format!("{error:#}")),
+            Err(_) => no_response("no response in time".to_owned()),
         };
         got.request.clone_from(&ask.work.request);
         got.took_us = now_us() - started;
@@ -155,6 +153,16 @@
     }
 }
 
+/// Returns what a caller got whose request ended without a response, with the cause in the
+/// place of the missing shards, so that a violation shows it.
+fn no_response(cause: String) -> CallerGot {
+    CallerGot {
+        run: "may_have_run".to_owned(),
+        missing: vec![(0, cause)],
+        ..CallerGot::default()
+    }
+}
+
 fn parse_response(status: StatusCode, body: &[u8]) -> CallerGot {
     if status == StatusCode::OK
         && let Ok(response) = serde_json::from_slice::<ResponseBody>(body)
