Answer the requests that have arrived when a daemon closes its connections

What callers saw: at the end of the drain time of a planned stop of briarquayd, requests that had just arrived were cut: on idle connections, on new ones, and on connections in the listen queue (reset). No target ran them.

Cause: hyper-util's GracefulShutdown closes a connection that has no request in flight without reading its socket, and the listener was dropped with the connections that the kernel had accepted.

Change: as the entry host does, a connection is read for 5 ms more before it is closed, and the connections in the listen queue are accepted. The queue is read from the kernel: the runtime knows only of the connections that its last poll has shown.

--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -3,16 +3,19 @@
 use {
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, StatusCode, body::Incoming, header},
+    hyper::{Request, Response, StatusCode, body::Incoming, header, server::conn::http1},
     hyper_util::{
         rt::{TokioIo, TokioTimer},
-        server::graceful::GracefulShutdown,
         service::TowerToHyperService,
     },
     serde::Serialize,
-    std::{convert::Infallible, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::Semaphore},
-    tokio_util::sync::CancellationToken,
+    std::{convert::Infallible, iter, pin::pin, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Semaphore,
+        time::{sleep, timeout},
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
     tower::Service,
 };
 
@@ -34,8 +37,12 @@
 /// Delay after a failed accept, to avoid a busy loop when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Serves requests with `service` until `stop`, then returns once the requests in flight
-/// have got their responses.
+/// Time for which a connection is still read after the stop, before it is closed as idle: a
+/// request that has already arrived must be served.
+const LAST_READ_TIME: Duration = Duration::from_millis(5);
+
+/// Serves requests with `service` until `stop`, then returns once the requests that have
+/// arrived by then have got their responses.
 pub async fn serve<S>(listener: TcpListener, limits: Limits, stop: CancellationToken, service: S)
 where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible>,
@@ -43,21 +50,13 @@
     S::Future: Send + 'static,
 {
     let slots = Arc::new(Semaphore::new(limits.connections));
-    let graceful = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let connections = TaskTracker::new();
+    let serve_connection = |stream: TcpStream| {
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
-            continue;
+            return;
         };
         let _ = stream.set_nodelay(true);
-        let connection = hyper::server::conn::http1::Builder::new()
+        let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout)
             .max_buf_size(MAX_HEAD_BYTES)
@@ -65,15 +64,51 @@
                 TokioIo::new(stream),
                 TowerToHyperService::new(service.clone()),
             );
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
+        let stop = stop.clone();
+        connections.spawn(async move {
+            let _slot = slot;
+            let mut connection = pin!(connection);
             // A connection error concerns only the client.
-            let _ = connection.await;
-            drop(slot);
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = stop.cancelled() => {}
+            }
+            if timeout(LAST_READ_TIME, connection.as_mut()).await.is_err() {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_connection(stream),
+            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+        }
     }
-    drop(listener);
-    graceful.shutdown().await;
+    close_listener(listener, limits.connections)
+        .into_iter()
+        .for_each(serve_connection);
+    connections.close();
+    connections.wait().await;
+}
+
+/// Closes a listener and returns at most `count` connections that waited to be accepted,
+/// which the close would reset.
+fn close_listener(listener: TcpListener, count: usize) -> Vec<TcpStream> {
+    // The runtime learns of new connections only when it polls, so the kernel is asked.
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let waiting = iter::from_fn(|| listener.accept().ok());
+    let streams = waiting.take(count).filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
 }
 
 /// Returns a response with a body of the media type `kind`.
