--- a/tests/testsuite/planned_stops.rs
+++ b/tests/testsuite/planned_stops.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        fixtures::{deploy, plan},
+        fixtures::{changed, deploy, plan, set_leaving, small},
         support::{Process, daemon_settings, start_daemon, status, wait_until},
     },
     briarquay::{
         Daemon,
-        deployment::Deployment,
+        deployment::{Deployment, Plan},
         transport::http::{self, Limits},
     },
     bytes::Bytes,
@@ -18,7 +18,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    standin::{history::Event, target::Work},
+    standin::{history::Event, http::Connection, target::Work},
     std::{
         convert::Infallible,
         io::Write,
@@ -370,3 +370,62 @@
     }
     assert!(sent.len() > 100, "requests were sent throughout the stop");
 }
+
+/// Asks for a charge that no target takes, with a deadline after the longest stop.
+async fn charge_for_long(entry: SocketAddr, id: &'static str) -> Option<(StatusCode, String)> {
+    let work = Work {
+        request: id.to_owned(),
+        rows: 1,
+        crash: false,
+    };
+    let headers = [
+        ("x-request-id", id.to_owned()),
+        ("idempotency-key", id.to_owned()),
+        ("x-deadline-ms", "40000".to_owned()),
+    ];
+    let body = Bytes::from(serde_json::to_vec(&work).expect("JSON"));
+    let mut connection = Connection::open(entry).await.expect("it listens");
+    let path = "/v1/services/charge/query";
+    let answer = connection.send(Method::POST, path, &headers, body).await;
+    let (status, body) = answer.ok()?;
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Guards against a cut of requests that have more time left than a stop may take.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_whose_deadline_is_after_the_end_of_a_stop_are_answered_before_it() {
+    // Arrange
+    let document = changed(&small(2), |declaration| {
+        declaration.services[1].deadlines.longest_ms = 40_000;
+        for name in ["charge-0", "charge-1", "charge-2"] {
+            set_leaving(declaration, name);
+        }
+    });
+    let deployment = deploy(Plan {
+        document,
+        ..plan(2, 2)
+    })
+    .await;
+    let folder = TempDir::new().expect("a folder is made");
+    let (mut process, entry) = start_beside(&deployment, &folder).await;
+
+    // Act
+    let before = tokio::spawn(charge_for_long(entry, "before"));
+    sleep(Duration::from_millis(200)).await;
+    process.signal("TERM");
+    sleep(DRAIN / 3).await;
+    let during = tokio::spawn(charge_for_long(entry, "during"));
+    wait_until("the daemon exits", || {
+        let ended = process.child.try_wait().expect("it is a child");
+        async move { ended.is_some() }
+    })
+    .await;
+
+    // Assert
+    for asked in [before, during] {
+        let answer = asked.await.expect("no panic");
+        let (status, body) = answer.expect("a whole answer");
+        assert!(status.is_server_error(), "{status}: {body}");
+        assert!(body.contains("\"run\":"), "{body}");
+    }
+}
