Answer requests in flight before a stopping daemon ends, whatever their deadline

What callers saw: a request with 40 s left that was in flight at SIGTERM to briarquayd ended with a closed connection when the daemon ended, 16 s later.

Cause: a stop waits 15 s for the requests in flight; what is left then is dropped with the runtime. Declarations allow deadlines of up to 60 s.

Change: a stop has a time at which all requests get a response, 15 s after the drain time. Requests that arrive during the stop get no later deadline; those in flight get 504 and may_have_run then.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,16 +19,12 @@
     eyre::{Result, WrapErr},
     futures_util::{StreamExt, stream::BoxStream},
     slog::info,
-    std::{
-        net::SocketAddr,
-        sync::{Arc, atomic::Ordering},
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::{broadcast, mpsc},
         task::{JoinHandle, JoinSet},
-        time::{Instant, sleep, timeout},
+        time::{Instant, sleep, sleep_until, timeout, timeout_at},
     },
     tokio_util::sync::CancellationToken,
     tonic::transport::{Server, server::TcpIncoming},
@@ -45,6 +41,9 @@
 /// leaves, and for peers' requests in flight.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time for sending the responses to the requests that were still in flight after that.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time that a shutdown leaves for the removal of this daemon from the stored member list.
 const REMOVAL_DELAY: Duration = Duration::from_millis(500);
 
@@ -252,10 +251,12 @@
     /// hands the leaves to their next owners, and leaves the member list.
     pub async fn stop(mut self) {
         info!(self.shared.log, "daemon: stopping");
-        self.shared.ready.store(false, Ordering::Relaxed);
-        sleep(self.shared.settings.drain()).await;
+        let close_at = Instant::now() + self.shared.settings.drain();
+        let respond_by = close_at + SHUTDOWN_TIMEOUT;
+        self.shared.stop(respond_by);
+        sleep_until(close_at).await;
         self.stop_callers.cancel();
-        let _ = timeout(SHUTDOWN_TIMEOUT, &mut self.callers).await;
+        let _ = timeout_at(respond_by + RESPONSE_TIMEOUT, &mut self.callers).await;
         self.coordinator.leave();
         let deadline = Instant::now() + SHUTDOWN_TIMEOUT;
         while !self.coordinator.has_left() && Instant::now() < deadline {
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -34,7 +34,10 @@
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
     },
-    tokio::time::Instant,
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep_until},
+    },
 };
 
 /// Divisor of the lease length: work is sent only while at least that part of the lease
@@ -92,6 +95,9 @@
     pub leaving_targets: ArcSwap<Set<Name>>,
     /// Readiness; false once a shutdown has begun.
     pub ready: AtomicBool,
+    /// Time of a shutdown at which all callers' requests in flight get a response; `None`
+    /// before it.
+    respond_by: watch::Sender<Option<Instant>>,
     view: ArcSwap<View>,
     lease_until: AtomicU64,
     services: Mutex<Map<Name, Arc<ServiceState>>>,
@@ -116,6 +122,7 @@
             quarantine: Quarantine::default(),
             leaving_targets: ArcSwap::default(),
             ready: AtomicBool::new(true),
+            respond_by: watch::Sender::default(),
             view: ArcSwap::default(),
             lease_until: AtomicU64::new(0),
             services: Mutex::default(),
@@ -139,6 +146,34 @@
         self.lease_until.store(until.0, Ordering::Release);
     }
 
+    /// Begins a shutdown: this host is no longer ready, and all callers' requests get a
+    /// response by `respond_by`.
+    pub fn stop(&self, respond_by: Instant) {
+        self.ready.store(false, Ordering::Relaxed);
+        self.respond_by.send_replace(Some(respond_by));
+    }
+
+    /// Returns the earlier of `deadline` and the time at which a stopping host responds to all
+    /// requests.
+    #[must_use]
+    pub fn limit_deadline(&self, deadline: Instant) -> Instant {
+        let respond_by = *self.respond_by.borrow();
+        respond_by.map_or(deadline, |respond_by| respond_by.min(deadline))
+    }
+
+    /// Waits until the host is stopping and must respond to all requests.
+    pub async fn last_response_due(&self) {
+        let mut receiver = self.respond_by.subscribe();
+        let respond_by = match receiver.wait_for(Option::is_some).await {
+            Ok(respond_by) => *respond_by,
+            Err(_) => None,
+        };
+        match respond_by {
+            Some(respond_by) => sleep_until(respond_by).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Returns the time at which the lease ends. Work sent to a leaf must be complete by then.
     #[must_use]
     pub fn lease_end(&self) -> Instant {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -135,7 +135,9 @@
             fingerprint: fingerprint(&query.service, &query.body),
             query,
             state,
-            deadline: started + timeout - timeout / MERGE_TIME_DIVISOR,
+            deadline: self
+                .shared
+                .limit_deadline(started + timeout - timeout / MERGE_TIME_DIVISOR),
             timeout,
         };
         if self.shared.quarantine.safety(job.fingerprint) == RequestSafety::Quarantined {
--- a/src/transport/caller.rs
+++ b/src/transport/caller.rs
@@ -80,10 +80,16 @@
 ) -> Reply {
     let started = Instant::now();
     let outcome = match read_query(shared, request).await {
-        Ok(query) => entry
-            .answer(query)
-            .await
-            .and_then(|answer| encode_answer(&answer)),
+        Ok(query) => {
+            let id = query.request.clone();
+            tokio::select! {
+                biased;
+                answer = entry.answer(query) => answer.and_then(|answer| encode_answer(&answer)),
+                () = shared.last_response_due() => {
+                    Err(Refusal::new(&id, Verdict::MayHaveRun, Cause::Deadline))
+                }
+            }
+        }
         Err(refusal) => Err(refusal),
     };
     match outcome {
