Accept the connections that wait when a host with several threads closes its listener

What callers saw: connections that they had just made to a stopping host were reset, with their requests unread.

Cause: before the close the listener accepts what waits. It asked the runtime, which knows only of the connections that its last poll of the sockets has shown. With one thread, a yield makes that poll happen; with several, another thread may hold it, and the yield returns without one.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -7,8 +7,10 @@
         response::{self, FullResponse},
         serve,
     },
-    crate::{state::routes::CallerLimits, transport::leaf::enable_keepalive},
-    futures_util::FutureExt,
+    crate::{
+        state::routes::CallerLimits,
+        transport::{http::close_listener, leaf::enable_keepalive},
+    },
     http_body_util::Full,
     hyper::{
         Request, StatusCode,
@@ -28,7 +30,6 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        task::yield_now,
         time::{Instant, timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -161,12 +162,7 @@
             }
         }
     }
-    // Dropping the listener resets the connections that wait to be accepted.
-    yield_now().await;
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve(stream);
-    }
-    drop(listener);
+    close_listener(listener).into_iter().for_each(serve);
     connections.close();
     connections.wait().await;
 }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -37,6 +37,10 @@
 /// Delay after a failed accept, to avoid a busy loop when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Most connections that are accepted as a listener closes: twice the usual backlog, since
+/// more may come meanwhile.
+const MAX_WAITING: usize = 2_048;
+
 /// Time for which a connection is still read after the stop, before it is closed as idle: a
 /// request that has already arrived must be served.
 const LAST_READ_TIME: Duration = Duration::from_millis(5);
@@ -89,22 +93,23 @@
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    close_listener(listener, limits.connections)
+    close_listener(listener)
         .into_iter()
         .for_each(serve_connection);
     connections.close();
     connections.wait().await;
 }
 
-/// Closes a listener and returns at most `count` connections that waited to be accepted,
-/// which the close would reset.
-fn close_listener(listener: TcpListener, count: usize) -> Vec<TcpStream> {
-    // The runtime learns of new connections only when it polls, so the kernel is asked.
+/// Closes a listener and returns the connections that waited to be accepted, which the close
+/// would reset.
+#[must_use]
+pub fn close_listener(listener: TcpListener) -> Vec<TcpStream> {
+    // The runtime knows only of the connections that its last poll has shown.
     let Ok(listener) = listener.into_std() else {
         return Vec::new();
     };
     let waiting = iter::from_fn(|| listener.accept().ok());
-    let streams = waiting.take(count).filter_map(|(stream, _)| {
+    let streams = waiting.take(MAX_WAITING).filter_map(|(stream, _)| {
         stream.set_nonblocking(true).ok()?;
         TcpStream::from_std(stream).ok()
     });
