--- a/tests/testsuite/planned_stops.rs
+++ b/tests/testsuite/planned_stops.rs
@@ -429,3 +429,24 @@
         assert!(body.contains("\"run\":"), "{body}");
     }
 }
+
+/// Guards against the same at a server with several threads, which close and poll at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_that_wait_at_the_close_of_a_server_with_threads_are_answered() {
+    let mut unanswered = 0;
+    for _ in 0..200 {
+        let server = Server::start().await;
+        sleep(Duration::from_millis(1)).await;
+
+        let stream = std::net::TcpStream::connect(server.address);
+        let mut stream = stream.expect("the kernel accepts it");
+        stream.write_all(get("/").as_bytes()).expect("room for it");
+        server.stop.cancel();
+
+        stream.set_nonblocking(true).expect("an open socket");
+        let streams = vec![TcpStream::from_std(stream).expect("an open socket")];
+        unanswered += u32::from(!read_all(streams).await[0].ends_with("done"));
+        server.task.await.expect("it ends");
+    }
+    assert_eq!(unanswered, 0, "unanswered, of 200");
+}
