Serve all connections that wait when a stopping host stops listening

Callers whose connections waited to be accepted 0.6 of the grace time after SIGTERM saw them reset, their requests unread.

Cause: before it dropped its listener the host took what waited with tokio's accept and now_or_never. Tokio lets one poll of a task do 128 operations; the 129th accept returned nothing, which looked like an empty queue.

Change: the listener is turned into a plain one, whose accept tells when the queue is empty.

A connection that arrives between the last accept and the close is still reset.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -8,7 +8,6 @@
         serve,
     },
     crate::{state::routes::CallerLimits, transport::leaf::enable_keepalive},
-    futures_util::FutureExt,
     http_body_util::Full,
     hyper::{
         Request, StatusCode,
@@ -22,13 +21,13 @@
     std::{
         convert::Infallible,
         future::Future,
+        io::ErrorKind,
         pin::{Pin, pin},
         sync::Arc,
         time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        task::yield_now,
         time::{Instant, timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -161,16 +160,34 @@
             }
         }
     }
-    // Dropping the listener resets the connections that wait to be accepted.
-    yield_now().await;
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    for stream in accept_waiting(listener) {
         serve(stream);
     }
-    drop(listener);
     connections.close();
     connections.wait().await;
 }
 
+/// Stops listening and returns the connections that waited to be accepted: dropping the
+/// listener would reset them.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    // Tokio's listener accepts at most 128 connections in one poll of a task.
+    let Ok(listener) = listener.into_std() else {
+        return streams;
+    };
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let is_ready = stream.set_nonblocking(true).is_ok();
+                streams.extend(is_ready.then(|| TcpStream::from_std(stream).ok()).flatten());
+            }
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+            // Mostly, none is left.
+            Err(_) => return streams,
+        }
+    }
+}
+
 /// Serves a connection until its peer closes it, or until `stop` is cancelled and the
 /// requests that have arrived by then have their responses or the stop time has ended.
 async fn run_connection<H, F>(
