Stop within the grace time that the settings file states now

Callers whose requests were at leaves got no answer when the grace time had been shortened since the start: the host planned its stop for the old one, and the platform killed it at the end of the new one.

Cause: grace_s was read once, at the start. A reload told that a restart is needed and kept the old value; the file may also change without a signal.

Change: the grace time is one of the settings that can be reloaded, and the file is read once more when a stop begins. That also covers a SIGHUP that is pending together with SIGTERM. A file that can't be read leaves the present settings in use, as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -235,7 +235,7 @@
     /// Marks the host as stopping: it is no longer ready, and its followers look for another
     /// source. Returns the times of the stop.
     pub fn stop(&self) -> StopSchedule {
-        let schedule = StopSchedule::new(Instant::now(), self.settings.stop_timeout);
+        let schedule = StopSchedule::new(Instant::now(), self.reloaded().stop_timeout);
         self.stop_schedule.send_replace(Some(schedule));
         self.registry_copy.stop();
         schedule
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -45,6 +45,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Fleet retry budget: attempts that all hosts together may send beyond first ones.
     pub retry_budget: FleetBudget,
+    /// Time from the stop signal until the process is killed.
+    pub stop_timeout: Duration,
 }
 
 impl ReloadableSettings {
@@ -54,6 +56,7 @@
         Self {
             seeds: settings.seeds.clone(),
             retry_budget: settings.retry_budget,
+            stop_timeout: settings.stop_timeout,
         }
     }
 }
@@ -66,7 +69,7 @@
         (&self.id, &self.domain, self.registry_address)
             == (&other.id, &other.domain, other.registry_address)
             && self.caller_address.ip() == other.caller_address.ip()
-            && (self.apply_timeout, self.stop_timeout) == (other.apply_timeout, other.stop_timeout)
+            && self.apply_timeout == other.apply_timeout
             && (self.cores, self.millicores) == (other.cores, other.millicores)
     }
 }
