Answer queries over many shards in fleets of more than 64 domains

Callers of queries over many shards saw their connections end without an answer, each time, at hosts in fleets of more than 64 failure domains.

Cause: a query distinguishes 64 domains and counts the shards of these alone. The host's own domain was looked up among the counts though its place may be beyond them: index out of bounds, a panic of the connection's task.

--- a/src/policy/delegation.rs
+++ b/src/policy/delegation.rs
@@ -95,14 +95,17 @@
         let max_count = counts.iter().copied().max().unwrap_or(0);
         let is_comparable =
             |domain: &usize| to_f64(counts[*domain]) >= to_f64(max_count) * COMPARABLE_RATIO;
-        let preferred = own_domain.filter(|own| groups.is_empty() && counts[*own] >= min_shards);
+        let has_enough = |domain: &usize| {
+            counts
+                .get(*domain)
+                .is_some_and(|count| *count >= min_shards)
+        };
+        let preferred = own_domain.filter(|own| groups.is_empty() && has_enough(own));
         let any_domain = || {
             let comparable = (0..counts.len()).filter(is_comparable);
             comparable.max_by_key(|domain| hash(&domains[*domain], seed))
         };
-        let chosen = preferred
-            .or_else(any_domain)
-            .filter(|domain| counts[*domain] >= min_shards);
+        let chosen = preferred.or_else(any_domain).filter(has_enough);
         let Some(domain) = chosen else { break };
         let (grouped, others) = remaining
             .into_iter()
