Bound the attempts of a route with the largest max_attempts

With max_attempts, callers whose first leaf failed saw their connections end without an answer.

Cause: the limit of delivered attempts is max_attempts plus two. The sum overflows: with overflow checks it panics in the connection's task. By reading, a build without them would get a limit of 1 and never retry; that was not run.

Change: the sum saturates.

--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -94,7 +94,7 @@
 #[must_use]
 pub fn is_allowed(counts: &AttemptCount, verdict: Verdict) -> bool {
     let has_attempts = counts.runs < counts.max_attempts
-        && counts.delivered < counts.max_attempts + REJECTED_ATTEMPTS;
+        && counts.delivered < counts.max_attempts.saturating_add(REJECTED_ATTEMPTS);
     let is_safe = match counts.repeats {
         Repeats::Safe => true,
         Repeats::Never => verdict == Verdict::NotRun && counts.runs == 0,
