Listen for callers only when the other addresses are bound

Callers who connected while a process failed to start, since another one had its address for readiness checks or other hosts, were accepted and reset. A second process does that between the time at which one that stops no longer accepts callers and its end.

Cause: the address for callers was bound first, and the kernel accepts from then on.

Change: it is bound last. With it taken, the start fails as before.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -60,10 +60,11 @@
         registry: R,
         log: Logger,
     ) -> Result<Self> {
-        let callers = listen(&mut settings.caller_address)?;
         let ready = settings.ready_address.as_mut().map(listen).transpose()?;
         let peers = settings.peer_address.as_mut().map(listen).transpose()?;
         let metrics = settings.metrics_address.as_mut().map(listen).transpose()?;
+        // Last, since the kernel accepts callers from here on.
+        let callers = listen(&mut settings.caller_address)?;
         let gateway = Arc::new(Gateway::new(settings, dialect, log)?);
         let registry = Arc::new(registry);
         let callers_stop = CancellationToken::new();
