--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -9,7 +9,7 @@
         service::TowerToHyperService,
     },
     serde::Serialize,
-    std::{convert::Infallible, iter, pin::pin, sync::Arc, time::Duration},
+    std::{convert::Infallible, io::ErrorKind, iter, pin::pin, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Semaphore,
@@ -108,7 +108,15 @@
     let Ok(listener) = listener.into_std() else {
         return Vec::new();
     };
-    let waiting = iter::from_fn(|| listener.accept().ok());
+    let waiting = iter::from_fn(|| {
+        loop {
+            match listener.accept() {
+                // Its caller has left; there may be others.
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+                accepted => return accepted.ok(),
+            }
+        }
+    });
     let streams = waiting.take(MAX_WAITING).filter_map(|(stream, _)| {
         stream.set_nonblocking(true).ok()?;
         TcpStream::from_std(stream).ok()
