Read on after the last response of a connection

What callers saw: a caller that sent more bytes after a request (a further request, an empty line, a body) to a host that closes after its answer got a part of the answer and a reset, when a part of it was still at the host: 4 KB of 18 KB and of 256 KB, with a receive buffer of 4 KB. The request had been passed on and run. A caller that still sent the body of a request with an early 408 or 413 got a broken pipe.

Cause: closing a socket with unread bytes resets the connection and drops what is unsent; so do bytes that arrive after the close. The host closed at once after the last response.

Change: after a response that ends the connection, the host ends its side, reads and drops what the caller sends until that ends its side, for 2 s, 256 KB or until the end of the stop at most, and then closes. RFC 9112, section 9.6, asks for this. A connection that is closed as idle is closed as before (cause `idle` in the log): its last answer is seconds old, and a request that crosses the close must not be read, since its caller may then not repeat it.

Limits: the caller has to send before it has the answer.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -11,19 +11,28 @@
         pin::Pin,
         sync::{Arc, Mutex},
         task::{Context, Poll, ready},
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf, copy, sink},
         net::TcpStream,
+        time::timeout,
     },
 };
 
+/// Time for which a caller may go on sending after its last response.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
+/// Most bytes that are read after the last response.
+const MAX_LINGER_BYTES: u64 = 256 << 10;
+
 /// What ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    /// Either side closed it between two requests or after a response.
+    /// The caller closed it between two requests, or either side after a response.
     Closed,
+    /// This host closed it between two requests, as it stops.
+    Idle,
     /// The caller closed it before the response.
     CallerLeft,
     /// The caller sent no whole head in time.
@@ -56,6 +65,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Closed => "closed",
+            Self::Idle => "idle",
             Self::CallerLeft => "caller_left",
             Self::HeadTimeout => "head_timeout",
             Self::Malformed => "malformed",
@@ -64,6 +74,12 @@
             Self::Aborted => "aborted",
         }
     }
+
+    /// Returns whether the end follows a response, which may still be on its way.
+    #[must_use]
+    pub fn follows_response(self) -> bool {
+        matches!(self, Self::Closed | Self::Malformed)
+    }
 }
 
 /// How far the last request of a connection got.
@@ -150,6 +166,12 @@
         progress.status = Some(status);
     }
 
+    /// Returns whether no request is being handled.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        matches!(lock(&self.progress).stage, Stage::Unused | Stage::Answered)
+    }
+
     fn record_written(&self, bytes: usize) {
         lock(&self.progress).written += bytes;
     }
@@ -224,6 +246,17 @@
         Self { stream, record }
     }
 
+    /// Ends this side of the connection and drops what the caller still sends, until it ends
+    /// its side. If bytes of the caller are unread at the close or arrive after it, the
+    /// connection is reset, and what hasn't arrived of the response is lost.
+    pub async fn linger(mut self) {
+        if self.stream.shutdown().await.is_ok() {
+            let mut rest = self.stream.take(MAX_LINGER_BYTES);
+            // How the caller ends it no longer matters.
+            let _ = timeout(LINGER_TIME, copy(&mut rest, &mut sink())).await;
+        }
+    }
+
     fn record_write(&self, written: io::Result<usize>) -> Poll<io::Result<usize>> {
         if let Ok(bytes) = &written {
             self.record.record_written(*bytes);
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -19,17 +19,11 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     slog::warn,
-    std::{
-        convert::Infallible,
-        future::Future,
-        pin::{Pin, pin},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{convert::Infallible, future::Future, pin::Pin, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         task::yield_now,
-        time::{Instant, timeout, timeout_at},
+        time::{sleep_until, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -130,7 +124,7 @@
     stop: CancellationToken,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + Unpin + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
     let connections = TaskTracker::new();
@@ -141,11 +135,19 @@
             handler: handler.clone(),
             record: Arc::clone(&record),
         };
-        let connection = serve_connection(stream, limits.unwrap_or_default(), handler);
-        let guard = EndGuard::new(record);
+        let mut connection = serve_connection(stream, limits.unwrap_or_default(), handler);
+        let guard = EndGuard::new(Arc::clone(&record));
         let (gateway, stop) = (Arc::clone(&gateway), stop.clone());
         connections.spawn(async move {
-            guard.finish(run_connection(connection, &gateway, &stop).await);
+            let end = run_connection(&mut connection, &record, &gateway, &stop).await;
+            guard.finish(end);
+            if end.follows_response() {
+                let stream = connection.into_parts().io.into_inner();
+                tokio::select! {
+                    () = stream.linger() => {}
+                    () = stop_ended(&gateway, &stop) => {}
+                }
+            }
         });
     };
     loop {
@@ -174,15 +176,16 @@
 /// Serves a connection until its peer closes it, or until `stop` is cancelled and the
 /// requests that have arrived by then have their responses or the stop time has ended.
 async fn run_connection<H, F>(
-    connection: Connection<H>,
+    connection: &mut Connection<H>,
+    record: &ConnectionRecord,
     gateway: &Gateway,
     stop: &CancellationToken,
 ) -> End
 where
-    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    H: Fn(Request<Incoming>) -> F + Send + Sync + Unpin + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
-    let mut connection = pin!(connection);
+    let mut connection = Pin::new(connection);
     tokio::select! {
         result = connection.as_mut() => return End::of(&result),
         () = stop.cancelled() => {}
@@ -190,11 +193,24 @@
     if let Ok(result) = timeout(LAST_READ_TIME, connection.as_mut()).await {
         return End::of(&result);
     }
+    let is_idle = record.is_idle();
     connection.as_mut().graceful_shutdown();
-    let end = gateway.stop_schedule().map(|schedule| schedule.end.into());
-    match timeout_at(end.unwrap_or_else(Instant::now), connection).await {
-        Ok(result) => End::of(&result),
-        Err(_) => End::HostEnded,
+    tokio::select! {
+        biased;
+        result = connection => match End::of(&result) {
+            // Requests that cross this close must not be read any more.
+            End::Closed if is_idle => End::Idle,
+            end => end,
+        },
+        () = stop_ended(gateway, stop) => End::HostEnded,
+    }
+}
+
+/// Waits for the end of the stop time, once `stop` is cancelled.
+async fn stop_ended(gateway: &Gateway, stop: &CancellationToken) {
+    stop.cancelled().await;
+    if let Some(schedule) = gateway.stop_schedule() {
+        sleep_until(schedule.end.into()).await;
     }
 }
 
