Answer requests that have arrived in part when a stop closes idle connections

What callers saw: a kept connection on which half of a request's head had arrived 3.6 s after SIGTERM, of 6 s, was closed without an answer. A new connection in the same state got its answer.

Cause: hyper's graceful_shutdown closes a connection that it takes for idle at once, also with bytes of the next head in its buffer. It takes a kept connection for idle until the head is whole.

Change: the connection's record knows whether bytes were read after the last response. Such a connection isn't told to shut down; the response to its request ends it, or the end of the stop.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -96,6 +96,11 @@
 }
 
 impl Stage {
+    /// Returns whether no request is being handled.
+    fn is_settled(self) -> bool {
+        matches!(self, Self::Unused | Self::Answered)
+    }
+
     fn name(self) -> &'static str {
         match self {
             Self::Unused => "unused",
@@ -114,6 +119,8 @@
     id: Name,
     read_at: Instant,
     status: Option<StatusCode>,
+    /// Whether bytes were read after the last request and its response.
+    is_next_begun: bool,
     /// Bytes written since the last request was read.
     written: usize,
 }
@@ -139,6 +146,7 @@
                 id: Name::default(),
                 read_at: Instant::now(),
                 status: None,
+                is_next_begun: false,
                 written: 0,
             }),
         }
@@ -156,6 +164,7 @@
             .into();
         progress.read_at = Instant::now();
         progress.status = None;
+        progress.is_next_begun = false;
         progress.written = 0;
     }
 
@@ -166,10 +175,22 @@
         progress.status = Some(status);
     }
 
-    /// Returns whether no request is being handled.
+    /// Returns whether no request is being handled and no part of the next one was read.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        matches!(lock(&self.progress).stage, Stage::Unused | Stage::Answered)
+        let progress = lock(&self.progress);
+        progress.stage.is_settled() && !progress.is_next_begun
+    }
+
+    /// Returns whether a part of the next request was read.
+    #[must_use]
+    pub fn is_next_begun(&self) -> bool {
+        lock(&self.progress).is_next_begun
+    }
+
+    fn record_read(&self) {
+        let mut progress = lock(&self.progress);
+        progress.is_next_begun = progress.stage.is_settled();
     }
 
     fn record_written(&self, bytes: usize) {
@@ -188,7 +209,7 @@
     /// also while the host is stopping.
     fn record_end(&self, end: End) {
         let progress = lock(&self.progress);
-        let is_answered = matches!(progress.stage, Stage::Unused | Stage::Answered);
+        let is_answered = progress.stage.is_settled();
         if !is_answered {
             self.gateway.metrics.record_unanswered(end);
         }
@@ -271,7 +292,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.filled().len() > before {
+            self.record.record_read();
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -194,7 +194,11 @@
         return End::of(&result);
     }
     let is_idle = record.is_idle();
-    connection.as_mut().graceful_shutdown();
+    // Hyper would close a kept connection although a part of a head was read. The response to
+    // that request ends the connection.
+    if !record.is_next_begun() {
+        connection.as_mut().graceful_shutdown();
+    }
     tokio::select! {
         biased;
         result = connection => match End::of(&result) {
