Give the head of a request its own time after an idle connection

What callers saw: a request whose head took half of header_timeout_ms, on a connection that had been idle for four fifths of idle_timeout_ms, was cut. The request was not passed on.

Cause: hyper's header_read_timeout runs from the last response to the end of the next head; it was idle_timeout_ms. header_timeout_ms was not used on connections to callers.

Change: the timeout is the sum of the two limits.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -231,7 +231,8 @@
     let _ = enable_keepalive(&stream);
     http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        // Hyper's time runs from the last response to the end of the next head.
+        .header_read_timeout(limits.idle_timeout + limits.head_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
         .serve_connection(
