Answer requests whose handling panics

Callers saw a connection end without an answer when the handling of their request panicked. The request could have run.

Cause: the request is handled in the task of its connection, which a panic ends.

Change: a panic is caught around the handling of a request and answered with 502, which promises nothing. `listener: handling panicked` names the request. The connection is kept.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -8,6 +8,7 @@
         serve,
     },
     crate::{state::routes::CallerLimits, transport::leaf::enable_keepalive},
+    futures_util::FutureExt,
     http_body_util::Full,
     hyper::{
         Request, StatusCode,
@@ -17,11 +18,12 @@
         service::Service,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    slog::warn,
+    slog::{error, warn},
     std::{
         convert::Infallible,
         future::Future,
         io::ErrorKind,
+        panic::AssertUnwindSafe,
         pin::{Pin, pin},
         sync::Arc,
         time::Duration,
@@ -63,7 +65,15 @@
         move |request| {
             let gateway = Arc::clone(&gateway);
             async move {
-                let mut response = serve::handle_request(&gateway, request).await;
+                let id = serve::request_id(&gateway, &request);
+                // A panic would end the connection without an answer to a request that may
+                // have run.
+                let handling = AssertUnwindSafe(serve::handle_request(&gateway, request));
+                let mut response = handling.catch_unwind().await.unwrap_or_else(|_| {
+                    error!(gateway.log, "listener: handling panicked"; "request" => &*id);
+                    let message = "this host failed to handle the request";
+                    response::plain_text(StatusCode::BAD_GATEWAY, message)
+                });
                 if gateway.is_stopping() {
                     // The caller must send its next request to another host.
                     let close = HeaderValue::from_static("close");
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -81,7 +81,8 @@
     request.respond(outgoing).await
 }
 
-fn request_id(gateway: &Gateway, request: &Request<Incoming>) -> Name {
+/// Returns the id of a request for logs; empty if it has none.
+pub(super) fn request_id(gateway: &Gateway, request: &Request<Incoming>) -> Name {
     let id = request.headers().get(&gateway.dialect.request_id);
     let id = id.and_then(|id| id.to_str().ok());
     id.unwrap_or_default().into()
