Hand answers to the kernel before a stopping host ends

What callers saw. Callers that read 50 KiB a second, over segments of 1448 bytes, got 68768 to 98924 bytes of an answer of 128 KiB that was given 5.3 s or later after SIGTERM; then the connection ended. Answers of 18 and 64 KiB arrived whole.

The kernel takes as much of an answer as its send buffer holds, and the rest waits in the process until the caller has read. At 0.95 of the stop time the connection is dropped with this rest. What the kernel has taken is sent also after the process has ended.

When a write has to wait while the host is stopping, the socket gets the largest send buffer that Linux allows by default (208 KiB, which the kernel doubles), unless the kernel gives it more already. The rest of the answer then leaves the process at once, whatever the caller reads. Waiting longer before the end would not have helped: of 300 ms until the kill, a caller of this kind reads 15 KiB.

Evidence. end_of_stop::answers_arrive_whole_at_callers_that_read_slowly failed before (131072 bytes sent at 5.3, 5.5 and 5.54 s: 98924, 98924 and 68768 arrived) and passes with this change alone.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -3,14 +3,14 @@
 
 use {
     super::{Gateway, view::lock},
-    crate::{clock::millis, collections::Name},
+    crate::{clock::millis, collections::Name, transport::leaf::enlarge_send_buffer},
     hyper::{Request, StatusCode, body::Incoming},
     slog::info,
     std::{
         io::{self, IoSlice},
         pin::Pin,
         sync::{Arc, Mutex},
-        task::{Context, Poll, ready},
+        task::{Context, Poll},
         time::Instant,
     },
     tokio::{
@@ -211,24 +211,38 @@
     }
 }
 
-/// A caller's socket that records what is written to it.
+/// A caller's socket that records what is written to it. While the host is stopping, the kernel
+/// takes more of a response than the caller reads: it goes on sending after the process has ended.
 pub struct RecordedStream {
     stream: TcpStream,
     record: Arc<ConnectionRecord>,
+    /// Whether the send buffer was enlarged.
+    is_enlarged: bool,
 }
 
 impl RecordedStream {
     /// Returns `stream`, with what is written recorded in `record`.
     #[must_use]
     pub fn new(stream: TcpStream, record: Arc<ConnectionRecord>) -> Self {
-        Self { stream, record }
+        Self {
+            stream,
+            record,
+            is_enlarged: false,
+        }
     }
 
-    fn record_write(&self, written: io::Result<usize>) -> Poll<io::Result<usize>> {
-        if let Ok(bytes) = &written {
-            self.record.record_written(*bytes);
+    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match &written {
+            Poll::Ready(Ok(bytes)) => self.record.record_written(*bytes),
+            // The kernel reports the space that this makes, so the write is tried again.
+            Poll::Pending if !self.is_enlarged && self.record.gateway.is_stopping() => {
+                self.is_enlarged = true;
+                // If it fails, the caller gets what it reads until the end of the stop.
+                let _ = enlarge_send_buffer(&self.stream);
+            }
+            Poll::Ready(Err(_)) | Poll::Pending => {}
         }
-        Poll::Ready(written)
+        written
     }
 }
 
@@ -248,7 +262,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.record_write(written)
     }
 
@@ -257,7 +271,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices));
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.record_write(written)
     }
 
