Write the last lines of a stop at once

What was seen. A host that is stalled from 5.66 to 5.91 s after SIGTERM, and that a caller keeps until the end of the stop time, was killed at 6 s without "host: stopped", the line that tells whether requests were cut. The callers lost nothing by this.

Lines are collected for 100 ms before they are written, also when Output::flush waits for them, and nothing else is left to do.

Change. flush ends the collecting. It still waits 300 ms at most.

--- a/src/daemon/output.rs
+++ b/src/daemon/output.rs
@@ -40,6 +40,8 @@
 struct Shared {
     buffer: Mutex<Buffer>,
     changed: Condvar,
+    /// Notified when the lines must be written at once.
+    flushing: Condvar,
 }
 
 #[derive(Default)]
@@ -49,6 +51,8 @@
     dropped: u64,
     /// Whether the thread is writing bytes that it took from the buffer.
     is_writing: bool,
+    /// Whether [`Output::flush`] waits for the lines.
+    is_flushing: bool,
 }
 
 /// Drain that suppresses lines beyond [`LINES_PER_SECOND`] with the same message.
@@ -92,15 +96,19 @@
         Ok(Logger::root(drain, o!("daemon" => id.to_string())))
     }
 
-    /// Waits up to 300 ms until all buffered lines are written.
+    /// Lets all buffered lines be written at once, and waits up to 300 ms until they are.
     pub fn flush(&self) {
-        let buffer = self.shared.lock();
+        let mut buffer = self.shared.lock();
+        buffer.is_flushing = true;
+        self.shared.flushing.notify_all();
         let is_unwritten = |buffer: &mut Buffer| !buffer.bytes.is_empty() || buffer.is_writing;
         // Lines that are not written in this time are lost when the process exits.
-        let _ = self
+        let waited = self
             .shared
             .changed
             .wait_timeout_while(buffer, FLUSH_TIMEOUT, is_unwritten);
+        let (mut buffer, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        buffer.is_flushing = false;
     }
 
     /// Returns the number of dropped lines that no `lines dropped` line has reported yet.
@@ -150,9 +158,11 @@
             let buffer = self
                 .changed
                 .wait_while(buffer, |buffer| buffer.bytes.is_empty());
-            drop(buffer.unwrap_or_else(PoisonError::into_inner));
-            thread::sleep(BATCH_DELAY);
-            let mut buffer = self.lock();
+            let buffer = buffer.unwrap_or_else(PoisonError::into_inner);
+            let waited = self
+                .flushing
+                .wait_timeout_while(buffer, BATCH_DELAY, |buffer| !buffer.is_flushing);
+            let (mut buffer, _) = waited.unwrap_or_else(PoisonError::into_inner);
             let mut bytes = std::mem::take(&mut buffer.bytes);
             let dropped = std::mem::take(&mut buffer.dropped);
             buffer.is_writing = true;
--- a/tests/testsuite/output.rs
+++ b/tests/testsuite/output.rs
@@ -70,6 +70,23 @@
     assert_eq!(line["parts"], 20);
 }
 
+/// Guards against a process that is killed while its last lines wait for further ones.
+#[test]
+fn flush_does_not_wait_for_more_lines() {
+    let (output, reader) = (Output::default(), Reader::default());
+    let log = output
+        .logger(reader.clone(), &"entry-1".into())
+        .expect("a thread");
+    let started = Instant::now();
+    for number in 0..50 {
+        info!(log, "a line"; "number" => number);
+        output.flush();
+    }
+    // Lines are collected for 100 ms otherwise, which makes five seconds.
+    assert!(started.elapsed() < Duration::from_secs(2));
+    assert_eq!(reader.lines().len(), 50);
+}
+
 #[test]
 fn a_stopped_reader_drops_lines_without_blocking() {
     let (output, reader) = (Output::default(), Reader::default());
