Keep briarquayd running at SIGHUP

What callers saw: SIGHUP to briarquayd ended the process at once, with its requests in flight and its connections.

Cause: the daemon had handlers for SIGTERM and SIGINT alone; the default action of SIGHUP is to end the process. briarquay-entry has a handler.

Evidence: planned_stops::reload_signal_does_not_end_a_daemon failed before (1 of 1 run), passes after (1 of 1 run).

Change: a handler is installed. The settings are read at the start, so the signal changes nothing.

--- a/src/bin/briarquayd.rs
+++ b/src/bin/briarquayd.rs
@@ -11,7 +11,8 @@
 /// Runs a briarquay daemon, which serves callers, owns leaves and coordinates with the other
 /// daemons.
 ///
-/// SIGTERM and SIGINT shut it down without interrupting a request.
+/// SIGTERM and SIGINT shut it down without interrupting a request. SIGHUP changes nothing: the
+/// settings are read at the start.
 #[derive(Debug, Parser)]
 #[command(name = "briarquayd", version)]
 struct Args {
@@ -44,6 +45,8 @@
 async fn run(settings: Settings) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // A signal without a handler would end the process with its requests in flight.
+    let _hangup = signal(SignalKind::hangup())?;
     let daemon = Daemon::start(settings).await?;
     tokio::select! {
         _ = terminate.recv() => {}
--- a/tests/testsuite/planned_stops.rs
+++ b/tests/testsuite/planned_stops.rs
@@ -495,3 +495,24 @@
     assert_clean(&events);
     assert_eq!(check::nothing_lost(&events), []);
 }
+
+/// Guards against a daemon that a reload signal ends at once, with its requests in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn reload_signal_does_not_end_a_daemon() {
+    // Arrange
+    let deployment = deploy(plan(2, 2)).await;
+    let folder = TempDir::new().expect("a folder is made");
+    let (mut process, entry) = start_beside(&deployment, &folder).await;
+    let mut caller = Caller::connect(entry).await.expect("it listens");
+
+    // Act
+    process.signal("HUP");
+    sleep(Duration::from_millis(300)).await;
+    let sent = caller.send("after-reload", Instant::now()).await;
+    let exit = process.child.try_wait().expect("it is a child");
+
+    // Assert
+    assert_eq!(exit, None, "it runs on");
+    let sent = sent.expect("an open connection");
+    assert_eq!(sent.outcome.ok(), Some(StatusCode::OK));
+}
