Don't reject a request as not run that an earlier attempt may have run

What callers saw: 503, which promises that a request has not run, for requests that may be repeated, after one leaf ran the request and broke off and another one rejected it.

Cause: a service failed with the failure of the last attempt alone. Only the path on which no leaf could be used looked at the earlier attempts. Requests that may run once are not sent again after such a failure, so they were not concerned.

Change: a service whose earlier attempt may have run the request fails with that verdict, whatever the last attempt was; the path that looked at this itself no longer does.

--- a/src/gateway/hedged_request/attempts.rs
+++ b/src/gateway/hedged_request/attempts.rs
@@ -4,7 +4,7 @@
     crate::{
         gateway::view::{LeafHandle, Service},
         policy::retry::AttemptCount,
-        protocol::verdict::Failure,
+        protocol::verdict::{Failure, Verdict},
         state::routes::Route,
         transport::leaf::LeafReply,
     },
@@ -151,9 +151,13 @@
     }
 
     /// Marks the service as failed if it is still open. The last failure reply is used when
-    /// `reply` is `None`.
-    pub fn fail(&mut self, failure: Failure, reply: Option<Box<LeafReply>>) {
+    /// `reply` is `None`. `failure` is that of the last attempt; an earlier one may have run
+    /// the request.
+    pub fn fail(&mut self, mut failure: Failure, reply: Option<Box<LeafReply>>) {
         if self.is_open() {
+            if failure.verdict == Verdict::NotRun && self.counts.runs > 0 {
+                failure.verdict = Verdict::MayHaveRun;
+            }
             let reply = reply.or(self.failed_reply.take());
             self.state = State::Failed(failure, reply);
         }
--- a/src/gateway/hedged_request/leaf_choice.rs
+++ b/src/gateway/hedged_request/leaf_choice.rs
@@ -24,12 +24,7 @@
         }
         let service = &mut self.services[index];
         if service.pending.is_empty() {
-            let failure = if service.counts.runs > 0 {
-                Failure::may_have_run(cause)
-            } else {
-                Failure::not_run(cause)
-            };
-            service.fail(failure, None);
+            service.fail(Failure::not_run(cause), None);
         }
     }
 
