Tests: briarquayd cuts answers and begun requests as entry hosts did (failing)

Cause, read in the code: a connection is dropped as soon as hyper has ended it, and graceful_shutdown takes a kept connection with a part of a head for idle.

--- a/tests/testsuite/planned_stops.rs
+++ b/tests/testsuite/planned_stops.rs
@@ -35,9 +35,9 @@
     tempfile::TempDir,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpSocket, TcpStream},
         task::JoinHandle,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep, sleep_until, timeout},
     },
     tokio_util::sync::CancellationToken,
     tower::service_fn,
@@ -495,3 +495,162 @@
     assert_clean(&events);
     assert_eq!(check::nothing_lost(&events), []);
 }
+
+/// Rows of each shard in an answer that is larger than the buffers of a narrow link.
+const ROWS: u32 = 2_000;
+
+/// Receive buffer of a caller on a narrow link, bytes.
+const SMALL_BUFFER_BYTES: u32 = 4 << 10;
+
+/// Returns the status of an answer and its missing bytes; `None` without a whole head.
+fn missing_bytes(answer: &[u8]) -> Option<(String, usize)> {
+    let end = answer.windows(4).position(|part| part == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    let length = head.split("content-length: ").nth(1)?;
+    let length: usize = length.lines().next()?.parse().ok()?;
+    let status = head.split(' ').nth(1)?.to_owned();
+    Some((status, length.saturating_sub(answer.len() - end - 4)))
+}
+
+fn query(id: &str, rows: u32) -> String {
+    let work = Work {
+        request: id.to_owned(),
+        rows,
+        crash: false,
+    };
+    let body = serde_json::to_string(&work).expect("JSON");
+    format!(
+        "POST /v1/services/search/query HTTP/1.1\r\nhost: x\r\nx-request-id: {id}\r\n\
+         x-deadline-ms: 2000\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Guards against a reset by bytes that follow the last request and takes the answer with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_after_the_last_answer_of_a_daemon_do_not_cut_it() {
+    // Arrange
+    let deployment = deploy(plan(4, 2)).await;
+    let folder = TempDir::new().expect("a folder is made");
+    let (mut process, entry) = start_beside(&deployment, &folder).await;
+
+    // Act
+    process.signal("TERM");
+    let mut cut = Vec::new();
+    let mut asking = tokio::task::JoinSet::new();
+    for number in 0..7 {
+        asking.spawn(async move {
+            let socket = TcpSocket::new_v4().expect("a socket");
+            let size = socket.set_recv_buffer_size(SMALL_BUFFER_BYTES);
+            size.expect("a size");
+            let mut stream = socket.connect(entry).await.expect("it listens");
+            let id = format!("last-{number}");
+            let request = query(&id, ROWS);
+            stream
+                .write_all(request.as_bytes())
+                .await
+                .expect("it reads");
+            sleep(Duration::from_millis(600)).await;
+            // The answer to the first caller, who sends nothing more, arrives whole.
+            if number > 0 {
+                // How the connection ended shows in the answer.
+                let _ = stream.write_all(get("/next").as_bytes()).await;
+            }
+            sleep(Duration::from_millis(200)).await;
+            let mut answer = Vec::new();
+            let end = timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
+            (id, missing_bytes(&answer), end)
+        });
+    }
+    for (id, answer, end) in asking.join_all().await {
+        let is_whole = matches!(&answer, Some((status, 0)) if status == "200");
+        let runs = run_count(&deployment, &id);
+        println!("{id}: {answer:?}, {runs} runs, {end:?}");
+        if !is_whole {
+            cut.push(format!("{id}: {answer:?}, {runs} runs"));
+        }
+    }
+    wait_until("the daemon exits", || {
+        let ended = process.child.try_wait().expect("it is a child");
+        async move { ended.is_some() }
+    })
+    .await;
+
+    // Assert
+    assert!(cut.is_empty(), "{cut:#?}");
+}
+
+/// Guards against a reset of callers that still send a body which was answered early.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answer_of_a_daemon_is_not_reset_while_the_body_still_arrives() {
+    let deployment = deploy(plan(4, 2)).await;
+    let entry = deployment.entries()[0];
+    let mut failures = Vec::new();
+    for (status, path) in [
+        ("404", "/none"),
+        ("413", "/v1/services/search/query"),
+        ("400", "/v1/services/search/query"),
+    ] {
+        let (deadline, pieces) = match status {
+            "413" => ("2000", 20),
+            "400" => ("x", 10),
+            _ => ("2000", 10),
+        };
+        let piece = "b".repeat(20_000);
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: x\r\nx-deadline-ms: {deadline}\r\n\
+             content-length: {}\r\n\r\n",
+            pieces * piece.len()
+        );
+        let mut stream = TcpStream::connect(entry).await.expect("it listens");
+        stream.write_all(head.as_bytes()).await.expect("it reads");
+        let mut write_error = None;
+        for _ in 0..pieces {
+            write_error = write_error.or(stream.write_all(piece.as_bytes()).await.err());
+            sleep(Duration::from_millis(25)).await;
+        }
+        let mut answer = Vec::new();
+        let end = timeout(Duration::from_secs(1), stream.read_to_end(&mut answer)).await;
+        let answer = missing_bytes(&answer);
+        let is_whole = matches!(&answer, Some((got, 0)) if got == status);
+        if !is_whole || write_error.is_some() || matches!(end, Ok(Err(_))) {
+            failures.push(format!(
+                "{status}: {answer:?}, write: {write_error:?}, end: {end:?}"
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against a close of a kept connection on which a part of a head has arrived.
+#[tokio::test]
+async fn request_whose_head_has_arrived_in_part_at_the_close_is_answered() {
+    let server = Server::start().await;
+    let mut streams = Vec::new();
+    for number in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(server.address)
+            .await
+            .expect("it listens");
+        let warm = get(&format!("/warm-{number}"));
+        stream.write_all(warm.as_bytes()).await.expect("it reads");
+        let mut answer = [0; 256];
+        let length = stream.read(&mut answer).await.expect("it answers");
+        assert!(answer[..length].ends_with(b"done"));
+        let head = get(&format!("/last-{number}"));
+        let (first, rest) = head.split_at(head.len() / 2);
+        stream.write_all(first.as_bytes()).await.expect("it reads");
+        streams.push((stream, rest.to_owned()));
+    }
+    sleep(Duration::from_millis(50)).await;
+
+    server.stop.cancel();
+    sleep(Duration::from_millis(50)).await;
+    let mut sent = Vec::new();
+    for (mut stream, rest) in streams {
+        // How the connection ended shows in the answer.
+        let _ = stream.write_all(rest.as_bytes()).await;
+        sent.push(stream);
+    }
+
+    assert_all_answered(server, sent).await;
+}
