Test: a stopping daemon cuts operators whose changes are being stored (failing)

The daemon ended 0.8 s after SIGTERM; the operator got no answer, with a store whose calls take 1.5 s. That the change takes effect nevertheless was not seen: the stand-in for the store drops a call whose caller leaves.

Cause, read in the code: the operators' server has a stop token that nobody cancels, and its task is aborted when the daemon is dropped.

--- a/tests/testsuite/planned_stops.rs
+++ b/tests/testsuite/planned_stops.rs
@@ -7,7 +7,9 @@
     },
     briarquay::{
         Daemon,
+        coordination::rollout::Submission,
         deployment::{Deployment, Plan},
+        settings::Settings,
         transport::http::{self, Limits},
     },
     bytes::Bytes,
@@ -23,6 +25,7 @@
         client::{self, Ask},
         history::{CallerGot, Event},
         http::Connection,
+        store::Fault,
         target::Work,
     },
     std::{
@@ -292,6 +295,12 @@
 
 /// Starts a daemon process beside the daemons of `deployment`, and waits until it serves.
 async fn start_beside(deployment: &Deployment, folder: &TempDir) -> (Process, SocketAddr) {
+    let (process, settings) = start_with_settings(deployment, folder).await;
+    (process, settings.caller_address)
+}
+
+/// Does the same as [`start_beside`], and returns the settings of the daemon.
+async fn start_with_settings(deployment: &Deployment, folder: &TempDir) -> (Process, Settings) {
     let seeds: Vec<SocketAddr> = deployment
         .daemons
         .iter()
@@ -306,7 +315,7 @@
         status.is_some_and(|status| status.owned > 0)
     })
     .await;
-    (process, settings.caller_address)
+    (process, settings)
 }
 
 fn run_count(deployment: &Deployment, id: &str) -> usize {
@@ -654,3 +663,48 @@
 
     assert_all_answered(server, sent).await;
 }
+
+/// Guards against a stop that ends the connections of operators whose changes are being stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_that_is_submitted_to_a_stopping_daemon_gets_an_answer() {
+    // Arrange
+    let document = changed(&small(2), |declaration| {
+        declaration.services[1].deadlines.longest_ms = 40_000;
+    });
+    let deployment = deploy(plan(2, 2)).await;
+    let folder = TempDir::new().expect("a folder is made");
+    let (mut process, settings) = start_with_settings(&deployment, &folder).await;
+    let submission = Submission {
+        id: "late".into(),
+        base: 1,
+        who: "test".to_owned(),
+        why: "test".to_owned(),
+        document,
+    };
+    deployment.store.set_fault(Fault {
+        delay_ms: 1_500,
+        ..Fault::default()
+    });
+
+    // Act
+    let body = Bytes::from(serde_json::to_vec(&submission).expect("JSON"));
+    let operator = settings.operator_address;
+    let submitting = tokio::spawn(async move {
+        standin::http::once(operator, Method::POST, "/v1/declaration", body).await
+    });
+    // Time for the read of the declaration; its write follows.
+    sleep(Duration::from_millis(1_700)).await;
+    process.signal("TERM");
+    let signalled = Instant::now();
+    wait_until("the daemon exits", || {
+        let ended = process.child.try_wait().expect("it is a child");
+        async move { ended.is_some() }
+    })
+    .await;
+    println!("the daemon ended after {:?}", signalled.elapsed());
+    let answer = submitting.await.expect("no panic");
+
+    // Assert
+    let answer = answer.map(|(status, _)| status);
+    assert!(answer.is_ok(), "{answer:?}");
+}
