End the connections of both programs in the same way

What callers saw: briarquayd reset answers that targets had run when the caller sent a further request first (463,686 of some 467,500 bytes missing), reset callers that still sent the body of a request that was answered early, and closed kept connections with a part of a head read. An entry host did the last, too, if that part had arrived while the request before was at its leaf.

Cause: the mends of the entry host's connections stood in its own listener, and briarquayd's server had none of them. In the listener, a begun head was told by bytes that arrive after the answer, but hyper reads ahead while a request is handled.

Change: transport/connection.rs serves a connection for both: last read, graceful shutdown, lingering close, larger send buffer. A connection without a request in it is taken apart at the close; if hyper has read a part of the next head, it is served on, for one request and at most 2 s until its head is whole (before: until the end of the stop). gateway/caller_connection.rs keeps what the log needs.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -270,6 +270,19 @@
         }
     }
 
+    /// Waits until the host is stopping and the stop time has ended.
+    pub async fn stop_ended(&self) {
+        let mut schedule = self.stop_schedule.subscribe();
+        let end = match schedule.wait_for(Option::is_some).await {
+            Ok(schedule) => schedule.map(|schedule| schedule.end),
+            Err(_) => None,
+        };
+        match end {
+            Some(end) => sleep_until(end.into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Returns whether new callers are accepted: the host has routes, its registry sync goes
     /// on, and it is not stopping.
     #[must_use]
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         Gateway, HostSettings,
-        caller_connection::End,
         limits::{self, LimitServer},
         listener,
         registration::{self, OwnEntry},
@@ -13,7 +12,7 @@
     crate::{
         clock::millis,
         protocol::dialect::Dialect,
-        transport::{fleet, registry::Registry},
+        transport::{connection::End, fleet, registry::Registry},
     },
     eyre::{Result, WrapErr},
     slog::{Logger, error, info},
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -3,13 +3,13 @@
 use {
     super::{
         Gateway,
-        caller_connection::{ConnectionRecord, End, EndGuard, RecordedStream},
+        caller_connection::{ConnectionRecord, EndGuard},
         response::{self, FullResponse},
         serve,
     },
     crate::{
         state::routes::CallerLimits,
-        transport::{http::close_listener, leaf::enable_keepalive},
+        transport::{connection::ServerConnection, http::close_listener, leaf::enable_keepalive},
     },
     futures_util::FutureExt,
     http_body_util::Full,
@@ -18,18 +18,15 @@
         body::Incoming,
         header::{CONNECTION, HeaderValue},
         server::conn::http1,
-        service::Service,
+        service::service_fn,
     },
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioTimer,
     slog::{error, warn},
     std::{
-        convert::Infallible, future::Future, panic::AssertUnwindSafe, pin::Pin, sync::Arc,
+        convert::Infallible, future::Future, panic::AssertUnwindSafe, pin::pin, sync::Arc,
         time::Duration,
     },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        time::{sleep_until, timeout},
-    },
+    tokio::net::{TcpListener, TcpStream},
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -42,17 +39,10 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Time for which a connection is still read before it is closed as idle: a request that has
-/// already arrived must be served.
-const LAST_READ_TIME: Duration = Duration::from_millis(5);
-
 /// Delay after a failed accept: without it, running out of file descriptors causes a busy
 /// loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// HTTP connection of a caller.
-type Connection<H> = http1::Connection<TokioIo<RecordedStream>, Handler<H>>;
-
 /// Serves callers until `stop` is cancelled; returns after the last response is sent.
 pub async fn callers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
     accept_connections(
@@ -144,21 +134,30 @@
     let serve = |stream: TcpStream| {
         let limits = gateway.view().routes.as_ref().map(|routes| routes.limits);
         let record = Arc::new(ConnectionRecord::new(Arc::clone(&gateway), name));
-        let handler = Handler {
-            handler: handler.clone(),
-            record: Arc::clone(&record),
-        };
-        let mut connection = serve_connection(stream, limits.unwrap_or_default(), handler);
         let guard = EndGuard::new(Arc::clone(&record));
-        let (gateway, stop) = (Arc::clone(&gateway), stop.clone());
+        let activity = Arc::clone(&record.activity);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            record.record_request(&request);
+            let record = Arc::clone(&record);
+            handler(request).map(move |response| {
+                record.record_status(response.status());
+                Ok::<_, Infallible>(response)
+            })
+        });
+        // If the socket options can't be set, a dead peer is detected at the idle timeout.
+        let _ = enable_keepalive(&stream);
+        let builder = connection_builder(limits.unwrap_or_default());
+        let connection = ServerConnection::new(stream, builder, service, activity, stop.clone());
+        let gateway = Arc::clone(&gateway);
         connections.spawn(async move {
-            let end = run_connection(&mut connection, &record, &gateway, &stop).await;
+            let mut cut = pin!(gateway.stop_ended());
+            let (end, unsent) = connection.run(cut.as_mut()).await;
             guard.finish(end);
-            if end.follows_response() {
-                let stream = connection.into_parts().io.into_inner();
+            if let Some(stream) = unsent {
                 tokio::select! {
                     () = stream.linger() => {}
-                    () = stop_ended(&gateway, &stop) => {}
+                    () = cut => {}
                 }
             }
         });
@@ -181,97 +180,13 @@
     connections.wait().await;
 }
 
-/// Serves a connection until its peer closes it, or until `stop` is cancelled and the
-/// requests that have arrived by then have their responses or the stop time has ended.
-async fn run_connection<H, F>(
-    connection: &mut Connection<H>,
-    record: &ConnectionRecord,
-    gateway: &Gateway,
-    stop: &CancellationToken,
-) -> End
-where
-    H: Fn(Request<Incoming>) -> F + Send + Sync + Unpin + 'static,
-    F: Future<Output = FullResponse> + Send + 'static,
-{
-    let mut connection = Pin::new(connection);
-    tokio::select! {
-        result = connection.as_mut() => return End::of(&result),
-        () = stop.cancelled() => {}
-    }
-    if let Ok(result) = timeout(LAST_READ_TIME, connection.as_mut()).await {
-        return End::of(&result);
-    }
-    let is_idle = record.is_idle();
-    // Hyper would close a kept connection although a part of a head was read. The response to
-    // that request ends the connection.
-    if !record.is_next_begun() {
-        connection.as_mut().graceful_shutdown();
-    }
-    tokio::select! {
-        biased;
-        result = connection => match End::of(&result) {
-            // Requests that cross this close must not be read any more.
-            End::Closed if is_idle => End::Idle,
-            end => end,
-        },
-        () = stop_ended(gateway, stop) => End::HostEnded,
-    }
-}
-
-/// Waits for the end of the stop time, once `stop` is cancelled.
-async fn stop_ended(gateway: &Gateway, stop: &CancellationToken) {
-    stop.cancelled().await;
-    if let Some(schedule) = gateway.stop_schedule() {
-        sleep_until(schedule.end.into()).await;
-    }
-}
-
-fn serve_connection<H, F>(
-    stream: TcpStream,
-    limits: CallerLimits,
-    handler: Handler<H>,
-) -> Connection<H>
-where
-    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-    F: Future<Output = FullResponse> + Send + 'static,
-{
-    // If the socket options can't be set, a dead peer is detected at the idle timeout.
-    let _ = enable_keepalive(&stream);
-    http1::Builder::new()
+fn connection_builder(limits: CallerLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         // Hyper's time runs from the last response to the end of the next head.
         .header_read_timeout(limits.idle_timeout + limits.head_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(
-            TokioIo::new(RecordedStream::new(stream, Arc::clone(&handler.record))),
-            handler,
-        )
-}
-
-/// Adapts a function to hyper's `Service`, for one connection.
-struct Handler<H> {
-    handler: H,
-    record: Arc<ConnectionRecord>,
-}
-
-impl<H, F> Service<Request<Incoming>> for Handler<H>
-where
-    H: Fn(Request<Incoming>) -> F,
-    F: Future<Output = FullResponse> + Send + 'static,
-{
-    type Response = FullResponse;
-    type Error = Infallible;
-    type Future = Pin<Box<dyn Future<Output = Result<FullResponse, Infallible>> + Send>>;
-
-    fn call(&self, request: Request<Incoming>) -> Self::Future {
-        self.record.record_request(&request);
-        let record = Arc::clone(&self.record);
-        let response = (self.handler)(request);
-        Box::pin(async move {
-            let response = response.await;
-            record.record_response(response.status());
-            Ok(response)
-        })
-    }
+        .max_headers(MAX_HEADERS);
+    builder
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,8 +1,7 @@
 //! Counters and histograms of an entry host.
 
 use {
-    super::caller_connection::End,
-    crate::{policy::rejection::Reason, protocol::verdict::Cause},
+    crate::{policy::rejection::Reason, protocol::verdict::Cause, transport::connection::End},
     eyre::Result,
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -2,6 +2,7 @@
 //! targets, the platform and operators.
 
 pub mod caller;
+pub mod connection;
 pub mod fleet;
 pub mod hosts;
 pub mod http;
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,19 +1,17 @@
 //! The HTTP/1 server and responses that the endpoints for callers and operators share.
 
 use {
+    super::connection::ServerConnection,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, StatusCode, body::Incoming, header, server::conn::http1},
-    hyper_util::{
-        rt::{TokioIo, TokioTimer},
-        service::TowerToHyperService,
-    },
+    hyper_util::{rt::TokioTimer, service::TowerToHyperService},
     serde::Serialize,
-    std::{convert::Infallible, io::ErrorKind, iter, pin::pin, sync::Arc, time::Duration},
+    std::{convert::Infallible, future::pending, io::ErrorKind, iter, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Semaphore,
-        time::{sleep, timeout},
+        time::sleep,
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
     tower::Service,
@@ -41,16 +39,12 @@
 /// more may come meanwhile.
 const MAX_WAITING: usize = 2_048;
 
-/// Time for which a connection is still read after the stop, before it is closed as idle: a
-/// request that has already arrived must be served.
-const LAST_READ_TIME: Duration = Duration::from_millis(5);
-
 /// Serves requests with `service` until `stop`, then returns once the requests that have
 /// arrived by then have got their responses.
 pub async fn serve<S>(listener: TcpListener, limits: Limits, stop: CancellationToken, service: S)
 where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible>,
-    S: Clone + Send + 'static,
+    S: Clone + Send + Unpin + 'static,
     S::Future: Send + 'static,
 {
     let slots = Arc::new(Semaphore::new(limits.connections));
@@ -60,26 +54,19 @@
             return;
         };
         let _ = stream.set_nodelay(true);
-        let connection = http1::Builder::new()
+        let mut builder = http1::Builder::new();
+        builder
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout)
-            .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(
-                TokioIo::new(stream),
-                TowerToHyperService::new(service.clone()),
-            );
-        let stop = stop.clone();
+            .max_buf_size(MAX_HEAD_BYTES);
+        let service = TowerToHyperService::new(service.clone());
+        let connection =
+            ServerConnection::new(stream, builder, service, Arc::default(), stop.clone());
         connections.spawn(async move {
             let _slot = slot;
-            let mut connection = pin!(connection);
-            // A connection error concerns only the client.
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = stop.cancelled() => {}
-            }
-            if timeout(LAST_READ_TIME, connection.as_mut()).await.is_err() {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+            // How the connection ended concerns only the client.
+            if let (_, Some(stream)) = connection.run(pending()).await {
+                stream.linger().await;
             }
         });
     };
