Answer operators' requests before a stopping daemon ends

What operators saw: the connection of a change that they had submitted ended without an answer 0.8 s after SIGTERM to the daemon, while the store was slow.

Cause: the operators' server has a stop token that nobody cancelled, and its task was aborted when the daemon was dropped; so was what it was answering.

Change: the server is stopped last, since readiness is asked of it during the stop, and awaited for 15 s at most like the others. The longest stop grows by as much. A submission that the store answers slowly six times can take longer than that (by reading; not run).

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -38,7 +38,7 @@
 use self::shared::Shared;
 
 /// Limit on each wait of a shutdown: for callers' requests in flight, for the handover of the
-/// leaves, and for peers' requests in flight.
+/// leaves, and for peers' and operators' requests in flight.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Time for sending the responses to the requests that were still in flight after that.
@@ -60,6 +60,8 @@
     stop_callers: CancellationToken,
     peers: JoinHandle<()>,
     stop_peers: CancellationToken,
+    operators: JoinHandle<()>,
+    stop_operators: CancellationToken,
     tasks: JoinSet<()>,
 }
 
@@ -175,11 +177,12 @@
         tasks.spawn(Arc::clone(&coordinator).run_seeds());
         tasks.spawn(Arc::clone(&coordinator).run_probes(timer));
         tasks.spawn(Arc::clone(&coordinator).run_hosts((*store).clone()));
-        tasks.spawn(operator::serve(
+        let stop_operators = CancellationToken::new();
+        let operators = tokio::spawn(operator::serve(
             listeners.operator,
             Arc::clone(&shared),
             Arc::clone(&coordinator),
-            CancellationToken::new(),
+            stop_operators.clone(),
         ));
         info!(shared.log, "daemon: started"; "id" => &*shared.settings.id,
             "callers" => %caller_address, "operators" => %operator_address);
@@ -192,6 +195,8 @@
             stop_callers,
             peers,
             stop_peers,
+            operators,
+            stop_operators,
             tasks,
         })
     }
@@ -266,6 +271,8 @@
         sleep(REMOVAL_DELAY).await;
         self.stop_peers.cancel();
         let _ = timeout(SHUTDOWN_TIMEOUT, &mut self.peers).await;
+        self.stop_operators.cancel();
+        let _ = timeout(SHUTDOWN_TIMEOUT, &mut self.operators).await;
         info!(self.shared.log, "daemon: stopped");
     }
 }
@@ -274,6 +281,7 @@
     fn drop(&mut self) {
         self.callers.abort();
         self.peers.abort();
+        self.operators.abort();
         self.tasks.abort_all();
     }
 }
