Wait for the times of a stop in one place; keep the send buffer beside its only use

Read-through, no change of behaviour: the two waits of a gateway for a time of its stop share one function, and enlarge_send_buffer moves from transport/leaf.rs to transport/connection.rs, which alone calls it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -222,7 +222,7 @@
     /// Returns the time since the host was told to stop; `None` while it is not stopping.
     #[must_use]
     pub fn stopping_time(&self) -> Option<Duration> {
-        let schedule = *self.stop_schedule.borrow();
+        let schedule = self.stop_schedule();
         schedule.map(|schedule| schedule.start.elapsed())
     }
 
@@ -245,7 +245,7 @@
     /// only if it is expected to end in time.
     #[must_use]
     pub fn admits(&self, request: &LateRequest, now: Instant) -> bool {
-        let schedule = *self.stop_schedule.borrow();
+        let schedule = self.stop_schedule();
         schedule.is_none_or(|schedule| schedule.admits(request, now))
     }
 
@@ -253,32 +253,29 @@
     /// requests.
     #[must_use]
     pub fn limit_deadline(&self, deadline: Instant) -> Instant {
-        let schedule = *self.stop_schedule.borrow();
+        let schedule = self.stop_schedule();
         schedule.map_or(deadline, |schedule| schedule.respond_by.min(deadline))
     }
 
     /// Waits until the host is stopping and must respond to all requests.
     pub async fn last_response_due(&self) {
-        let mut schedule = self.stop_schedule.subscribe();
-        let respond_by = match schedule.wait_for(Option::is_some).await {
-            Ok(schedule) => schedule.map(|schedule| schedule.respond_by),
-            Err(_) => None,
-        };
-        match respond_by {
-            Some(respond_by) => sleep_until(respond_by.into()).await,
-            None => std::future::pending().await,
-        }
+        self.wait_in_stop(|schedule| schedule.respond_by).await;
     }
 
     /// Waits until the host is stopping and the stop time has ended.
     pub async fn stop_ended(&self) {
+        self.wait_in_stop(|schedule| schedule.end).await;
+    }
+
+    /// Waits for a stop and the time in it that `time` returns.
+    async fn wait_in_stop(&self, time: impl Fn(&StopSchedule) -> Instant) {
         let mut schedule = self.stop_schedule.subscribe();
-        let end = match schedule.wait_for(Option::is_some).await {
-            Ok(schedule) => schedule.map(|schedule| schedule.end),
+        let until = match schedule.wait_for(Option::is_some).await {
+            Ok(schedule) => schedule.as_ref().map(time),
             Err(_) => None,
         };
-        match end {
-            Some(end) => sleep_until(end.into()).await,
+        match until {
+            Some(until) => sleep_until(until.into()).await,
             None => std::future::pending().await,
         }
     }
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -2,11 +2,11 @@
 //! responses, and responses arrive whole.
 
 use {
-    super::leaf::enlarge_send_buffer,
     bytes::{Buf, Bytes},
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming, server::conn::http1, service::Service},
     hyper_util::rt::TokioIo,
+    socket2::SockRef,
     std::{
         convert::Infallible,
         future::Future,
@@ -37,6 +37,10 @@
 /// Most bytes that are read after the last response.
 const MAX_LINGER_BYTES: u64 = 256 << 10;
 
+/// Send buffer of a socket: the largest that Linux allows by default (`wmem_max`). The kernel
+/// doubles it for its own data.
+const SEND_BUFFER_BYTES: usize = 208 << 10;
+
 /// What ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -283,6 +287,16 @@
     }
 }
 
+/// Lets the kernel take up to twice [`SEND_BUFFER_BYTES`] of unsent bytes, unless it takes more
+/// already.
+fn enlarge_send_buffer(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    if socket.send_buffer_size()? < SEND_BUFFER_BYTES * 2 {
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    }
+    Ok(())
+}
+
 /// A connection that a server has accepted.
 pub struct ServerConnection<S>
 where
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -60,10 +60,6 @@
 /// Longest idle timeout of a leaf that counts.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
 
-/// Send buffer of a socket: the largest that Linux allows by default (`wmem_max`). The kernel
-/// doubles it for its own data.
-const SEND_BUFFER_BYTES: usize = 208 << 10;
-
 /// Largest body of a reply.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -200,20 +196,6 @@
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
-/// Lets the kernel take up to twice [`SEND_BUFFER_BYTES`] of unsent bytes, unless it takes more
-/// already. It sends them also after the process has ended.
-///
-/// # Errors
-///
-/// Fails when the option can't be read or set.
-pub fn enlarge_send_buffer(stream: &TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    if socket.send_buffer_size()? < SEND_BUFFER_BYTES * 2 {
-        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
-    }
-    Ok(())
-}
-
 /// Sets the timeout for unacknowledged bytes, and `TCP_NODELAY`. A leaf that stops
 /// responding after it has acknowledged the request is covered by the request's hedge and
 /// deadline: keepalive probes would cost four more system calls per connection.
