Log what attempts at one request share, and whether a leaf that broke a connection has ended

The line now has the request's fingerprint (method, host, path with query, credentials, body), and crash_check tells whether the leaf ended: its address refuses connections while another leaf accepts them, so that a host that is cut off doesn't take its leaves for ended.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 
 pub mod attempt;
 pub mod caller_connection;
+pub mod crash_check;
 pub mod gather;
 pub mod hedged_request;
 pub mod helpers;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
         collections::Name,
         protocol::{
             dialect::Dialect,
+            fingerprint::Fingerprint,
             verdict::{Cause, Failure, Verdict},
         },
         state::relative_latency::BaselineLatency,
@@ -13,9 +14,19 @@
     },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{HeaderMap, Method, Request, StatusCode, Uri, header::HeaderValue},
+    hyper::{
+        HeaderMap, Method, Request, StatusCode, Uri,
+        header::{AUTHORIZATION, HOST, HeaderValue},
+        http::uri::PathAndQuery,
+    },
     slog::{Logger, info},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::{
+            Arc, OnceLock,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Instant,
+    },
     tokio::time::timeout_at,
 };
 
@@ -34,8 +45,51 @@
     pub body: Bytes,
     /// Time at which the caller's or the route's timeout ends, whichever is earlier.
     pub deadline: Instant,
-    /// Connections on which this host has sent it.
-    pub used_connections: UsedConnections,
+    /// What this host has sent of it and received.
+    pub progress: RequestProgress,
+}
+
+/// What a host has sent of a request, and received.
+#[derive(Debug, Default)]
+pub struct RequestProgress {
+    /// Connections on which it was sent.
+    used_connections: UsedConnections,
+    /// Whether a leaf has replied to it.
+    has_reply: AtomicBool,
+    fingerprint: OnceLock<Fingerprint>,
+}
+
+impl OutgoingRequest {
+    /// Returns the fingerprint, by which other attempts of the caller are recognised.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.progress.fingerprint.get_or_init(|| {
+            let header = |name| {
+                self.headers
+                    .get(name)
+                    .map_or(&[][..], HeaderValue::as_bytes)
+            };
+            let path = self.uri.path_and_query().map_or("", PathAndQuery::as_str);
+            Fingerprint::of_parts(&[
+                self.method.as_str().as_bytes(),
+                header(HOST),
+                header(AUTHORIZATION),
+                path.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
+    /// Records that a leaf has replied.
+    pub fn record_reply(&self) {
+        self.progress.has_reply.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a leaf has replied.
+    #[must_use]
+    pub fn has_reply(&self) -> bool {
+        self.progress.has_reply.load(Ordering::Relaxed)
+    }
 }
 
 /// The result of an attempt.
@@ -47,6 +101,17 @@
     Failed(FailedAttempt),
 }
 
+impl Outcome {
+    /// Returns whether the leaf broke the connection while it had the request.
+    #[must_use]
+    pub fn is_broken(&self) -> bool {
+        match self {
+            Self::Replied(_) => false,
+            Self::Failed(failed) => failed.failure == Failure::may_have_run(Cause::Crashed),
+        }
+    }
+}
+
 /// An attempt without a reply that can be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FailedAttempt {
@@ -149,7 +214,7 @@
     }
 
     async fn connect(&self) -> Result<(Connection, ConnectionPermit<'_>), Cause> {
-        let used = &self.outgoing.used_connections;
+        let used = &self.outgoing.progress.used_connections;
         let pool = &self.leaf.pool;
         let (connection, permit) = match pool.acquire(self.connections, used, Instant::now()) {
             Slot::Idle(connection) => (*connection, ConnectionPermit::new(&self.leaf)),
--- /dev/null
+++ b/src/gateway/crash_check.rs
@@ -0,0 +1,70 @@
+//! Whether a leaf has ended that broke a connection while it had a request.
+//!
+//! A leaf that runs on can break connections too, and so can a network that cuts this host off.
+//! A leaf has ended if its address refuses connections while another leaf accepts them.
+
+use {
+    super::view::{LeafHandle, View},
+    crate::transport::leaf::{Listener, check_listener},
+    rand::seq::IteratorRandom,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for which a leaf that accepted a connection is not checked again.
+const RUNNING_TTL: Duration = Duration::from_secs(1);
+
+/// Other leaves that are asked for a connection before this host counts as cut off.
+const MAX_WITNESSES: usize = 2;
+
+/// Whether a leaf has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeafCheck {
+    /// It has.
+    Ended,
+    /// It accepts connections.
+    Running,
+    /// It can't be told: the leaf is silent, or this host may be cut off.
+    Unknown,
+}
+
+impl LeafCheck {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Running => "running",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Checks `leaf`, which broke a connection.
+pub async fn check_leaf(view: &View, leaf: &Arc<LeafHandle>) -> LeafCheck {
+    if leaf.is_known_running(Instant::now()) {
+        return LeafCheck::Running;
+    }
+    match check_listener(leaf.leaf.address).await {
+        Listener::Accepts => {
+            leaf.record_running(Instant::now() + RUNNING_TTL);
+            LeafCheck::Running
+        }
+        Listener::Refuses if reaches_other_leaf(view, leaf).await => LeafCheck::Ended,
+        Listener::Refuses | Listener::Silent => LeafCheck::Unknown,
+    }
+}
+
+async fn reaches_other_leaf(view: &View, leaf: &Arc<LeafHandle>) -> bool {
+    let all = view.services.values().flat_map(|service| &service.leaves);
+    let others = all.filter(|other| other.leaf.address != leaf.leaf.address);
+    let witnesses = others.sample(&mut rand::rng(), MAX_WITNESSES);
+    for witness in witnesses {
+        if check_listener(witness.leaf.address).await == Listener::Accepts {
+            return true;
+        }
+    }
+    false
+}
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -6,8 +6,9 @@
     super::{
         Gateway,
         attempt::{Attempt, FailedAttempt, Outcome, OutgoingRequest},
+        crash_check,
         metrics::AttemptReason,
-        view::{RouteStats, View, lock},
+        view::{LeafHandle, RouteStats, View, lock},
     },
     crate::{
         clock::millis,
@@ -346,6 +347,7 @@
                 "request" => self.id(), "leaf" => &*leaf.leaf.id, "per_s" => limit,
                 "reason" => reason.name());
         }
+        let id = self.outgoing.id.clone();
         let attempt = Attempt {
             log: self.gateway.log.clone(),
             leaf: Arc::clone(&leaf),
@@ -361,8 +363,13 @@
         self.services[index].record_start(number, leaf, now);
         let sender = self.sender.clone();
         let gateway = Arc::clone(&self.gateway);
+        let view = Arc::clone(&self.view);
+        let leaf = Arc::clone(&attempt.leaf);
         let task = tokio::spawn(async move {
             let outcome = attempt.run(&gateway.dialect, &gateway.reply_buffers).await;
+            if outcome.is_broken() {
+                tokio::spawn(log_leaf_check(Arc::clone(&gateway), view, leaf, id));
+            }
             // Sending fails when the request has already ended: then the result is of no
             // use.
             let _ = sender.send(FinishedAttempt {
@@ -422,7 +429,8 @@
         );
         if failure.cause != Cause::Overloaded {
             info!(self.gateway.log, "hedged_request: send failed";
-            "request" => &*self.outgoing.id, "service" => service.name(),
+            "request" => &*self.outgoing.id, "fingerprint" => %self.outgoing.fingerprint(),
+            "service" => service.name(),
             "leaf" => leaf.as_ref().map(|leaf| &*leaf.leaf.id),
             "verdict" => %failure.verdict, "cause" => failure.cause.name(),
             "status" => reply.as_ref().map(|reply| reply.status.as_u16()),
@@ -484,3 +492,11 @@
         )
     }
 }
+
+/// Logs whether `leaf`, which broke the connection of the request `id`, has ended.
+async fn log_leaf_check(gateway: Arc<Gateway>, view: Arc<View>, leaf: Arc<LeafHandle>, id: Name) {
+    let check = crash_check::check_leaf(&view, &leaf).await;
+    gateway.metrics.record_broken_connection(check);
+    info!(gateway.log, "crash_check: leaf broke the connection of a request"; "request" => &*id,
+        "leaf" => &*leaf.leaf.id, "started_ms" => leaf.leaf.started_ms, "leaf_is" => check.name());
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of an entry host.
 
 use {
+    super::crash_check::LeafCheck,
     crate::{policy::rejection::Reason, protocol::verdict::Cause, transport::connection::End},
     eyre::Result,
     prometheus::{
@@ -31,6 +32,7 @@
     pub failed_claims: IntCounter,
     failures: IntCounterVec,
     missing_shards: IntCounterVec,
+    broken_connections: IntCounterVec,
     subqueries: IntCounterVec,
     registry_calls: IntCounterVec,
     /// Failures of the registry sync.
@@ -179,6 +181,11 @@
             .with_label_values(&["failed"]),
             failures: counters("leaf_failures_total", "Failed sends by cause", &["cause"])?,
             missing_shards: counters("left_out_total", "Shards left out by route", &["route"])?,
+            broken_connections: counters(
+                "broken_connections_total",
+                "Connections that leaves broke while they had a request, by whether the leaf runs",
+                &["leaf"],
+            )?,
             subqueries: counters(
                 "pieces_total",
                 "Pieces of requests handed to other hosts by outcome",
@@ -222,6 +229,12 @@
         }
     }
 
+    /// Records a connection that a leaf broke while it had a request.
+    pub fn record_broken_connection(&self, check: LeafCheck) {
+        let broken = &self.broken_connections;
+        broken.with_label_values(&[check.name()]).inc();
+    }
+
     /// Records a rejected request.
     pub fn record_rejection(&self, reason: Reason) {
         self.rejections.with_label_values(&[reason.name()]).inc();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Gateway,
-        attempt::OutgoingRequest,
+        attempt::{OutgoingRequest, RequestProgress},
         gather::ScatterGather,
         hedged_request::{HedgedRequest, attempts::State},
         response::{self, FullResponse},
@@ -20,7 +20,6 @@
         },
         protocol::verdict::{Cause, Failure, Verdict},
         state::routes::{Destination, Route, RouteTable, Shards, SplitService},
-        transport::leaf::UsedConnections,
     },
     bytes::Bytes,
     futures_util::FutureExt,
@@ -156,7 +155,7 @@
         headers,
         body,
         deadline: started + timeout,
-        used_connections: UsedConnections::default(),
+        progress: RequestProgress::default(),
     })
 }
 
--- a/src/gateway/subquery.rs
+++ b/src/gateway/subquery.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         Gateway,
-        attempt::OutgoingRequest,
+        attempt::{OutgoingRequest, RequestProgress},
         hedged_request::{HedgedRequest, attempts::State},
         response,
         view::View,
@@ -17,7 +17,7 @@
         state::routes::{Destination, Repeats, Route, Shards},
         transport::{
             fleet::{LostShard, PartialResult, Subquery, SubqueryService},
-            leaf::{LeafReply, UsedConnections},
+            leaf::LeafReply,
         },
     },
     futures_util::{
@@ -266,7 +266,7 @@
             headers: subquery.headers,
             body: subquery.body,
             deadline: started + subquery.deadline,
-            used_connections: UsedConnections::default(),
+            progress: RequestProgress::default(),
         }),
         started,
         soft_deadline: started + subquery.soft_deadline,
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -113,6 +113,8 @@
     limit_share: HostShare,
     /// Whether another leaf replies at its address.
     is_replaced: bool,
+    /// Until when it is taken to run, since it has accepted a connection.
+    running_until: Option<Instant>,
 }
 
 /// An attempt in flight at a leaf.
@@ -277,6 +279,18 @@
         !std::mem::replace(&mut lock(&self.stats).is_replaced, true)
     }
 
+    /// Records that the leaf has accepted a connection, which holds until `until`.
+    pub fn record_running(&self, until: Instant) {
+        lock(&self.stats).running_until = Some(until);
+    }
+
+    /// Returns whether the leaf has accepted a connection a short time ago.
+    #[must_use]
+    pub fn is_known_running(&self, now: Instant) -> bool {
+        let until = lock(&self.stats).running_until;
+        until.is_some_and(|until| now < until)
+    }
+
     /// Records the rate limit that a reply states, if any; the request was sent at `sent_at`.
     /// Returns whether the limit changed.
     pub fn record_rate_limit(&self, rate: Option<f64>, sent_at: Instant) -> bool {
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod dialect;
+pub mod fingerprint;
 pub mod message;
 pub mod verdict;
 pub mod wire;
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -51,6 +51,10 @@
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time in which a leaf accepts or refuses a connection that only shows whether it runs: some
+/// round trips within a region.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// Share of the idle timeout that a leaf states for which a connection is reused.
 const IDLE_TIMEOUT_RATIO: f64 = 0.6;
 
@@ -99,6 +103,26 @@
     is_reused: bool,
 }
 
+/// What the address of a leaf does with a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listener {
+    /// It accepts it.
+    Accepts,
+    /// It refuses it: no process listens.
+    Refuses,
+    /// Neither in time.
+    Silent,
+}
+
+/// Opens a connection to `address` and closes it.
+pub async fn check_listener(address: SocketAddr) -> Listener {
+    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Listener::Accepts,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Listener::Refuses,
+        Ok(Err(_)) | Err(_) => Listener::Silent,
+    }
+}
+
 /// The connections on which a request was sent.
 #[derive(Debug, Default)]
 pub struct UsedConnections {
