Recognise requests that crash the leaves that run them

Cause: no host recognised such a request. Each attempt of the caller was sent as a new one, with all attempts of its route, at whatever host it came to.

Evidence: the rig crashing_requests, which failed before: 15 attempts ended 30 leaves, 17 arrivals later than 4 s after the third end. The log's fingerprints and crash_check show one request at all ends, and other requests served by the same leaves.

Change: an end of a leaf under a request is recorded if its address refuses connections while another leaf accepts them. After the first end the request is a suspect: one leaf at a time gets it, and a reply clears it on all hosts. After a second one in a row all hosts reject it at once with 503, for 4 to 8 s, and from the third on for hours.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod attempt;
 pub mod caller_connection;
 pub mod crash_check;
+pub mod crashes;
 pub mod gather;
 pub mod hedged_request;
 pub mod helpers;
@@ -36,6 +37,7 @@
 use self::view::lock;
 
 pub use self::{
+    crashes::CrashRecords,
     limits::LimitSharing,
     metrics::Metrics,
     settings::{HostSettings, ReloadableSettings},
@@ -87,6 +89,8 @@
     pub reply_buffers: ReplyBuffers,
     /// Rate limits of leaves that this host knows of or allocates.
     pub limits: LimitSharing,
+    /// Requests under which leaves ended.
+    pub crashes: CrashRecords,
     /// What the last renewal of this host's lease has shown about the registry.
     pub registry_contact: watch::Sender<RegistryContact>,
     view: ArcSwap<View>,
@@ -124,6 +128,7 @@
             registry_copy: RegistryCopy::default(),
             reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
+            crashes: CrashRecords::default(),
             registry_contact: watch::Sender::default(),
             view: ArcSwap::default(),
             stop_schedule: watch::Sender::default(),
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -6,18 +6,14 @@
 use {
     super::view::{LeafHandle, View},
     crate::transport::leaf::{Listener, check_listener},
+    futures_util::{StreamExt, stream::FuturesUnordered},
     rand::seq::IteratorRandom,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::sync::Arc,
 };
 
-/// Time for which a leaf that accepted a connection is not checked again.
-const RUNNING_TTL: Duration = Duration::from_secs(1);
-
-/// Other leaves that are asked for a connection before this host counts as cut off.
-const MAX_WITNESSES: usize = 2;
+/// Other leaves that are asked for a connection before this host counts as cut off: when many
+/// leaves end together, one of so many runs.
+const MAX_WITNESSES: usize = 4;
 
 /// Whether a leaf has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,14 +40,8 @@
 
 /// Checks `leaf`, which broke a connection.
 pub async fn check_leaf(view: &View, leaf: &Arc<LeafHandle>) -> LeafCheck {
-    if leaf.is_known_running(Instant::now()) {
-        return LeafCheck::Running;
-    }
     match check_listener(leaf.leaf.address).await {
-        Listener::Accepts => {
-            leaf.record_running(Instant::now() + RUNNING_TTL);
-            LeafCheck::Running
-        }
+        Listener::Accepts => LeafCheck::Running,
         Listener::Refuses if reaches_other_leaf(view, leaf).await => LeafCheck::Ended,
         Listener::Refuses | Listener::Silent => LeafCheck::Unknown,
     }
@@ -61,8 +51,10 @@
     let all = view.services.values().flat_map(|service| &service.leaves);
     let others = all.filter(|other| other.leaf.address != leaf.leaf.address);
     let witnesses = others.sample(&mut rand::rng(), MAX_WITNESSES);
-    for witness in witnesses {
-        if check_listener(witness.leaf.address).await == Listener::Accepts {
+    let checks = witnesses.iter().map(|it| check_listener(it.leaf.address));
+    let mut checks: FuturesUnordered<_> = checks.collect();
+    while let Some(listener) = checks.next().await {
+        if listener == Listener::Accepts {
             return true;
         }
     }
--- a/src/gateway/gather.rs
+++ b/src/gateway/gather.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Returns the request as it is sent to leaves.
+    #[must_use]
+    pub fn outgoing(&self) -> &OutgoingRequest {
+        &self.outgoing
+    }
+
     /// Returns how many of the shards have a usable leaf.
     #[must_use]
     pub fn reachable_count(&self) -> usize {
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -6,9 +6,9 @@
     super::{
         Gateway,
         attempt::{Attempt, FailedAttempt, Outcome, OutgoingRequest},
-        crash_check,
+        crashes::JudgedAttempt,
         metrics::AttemptReason,
-        view::{LeafHandle, RouteStats, View, lock},
+        view::{RouteStats, View, lock},
     },
     crate::{
         clock::millis,
@@ -41,6 +41,7 @@
 
 pub mod attempts;
 mod leaf_choice;
+mod suspension;
 
 use self::attempts::{ScheduledRetry, ServiceAttempts, State};
 
@@ -259,6 +260,7 @@
             }
             match service.take_due_retry(now) {
                 Some(ScheduledRetry::Free) => self.start_attempt(index, AttemptReason::Retry, now),
+                Some(ScheduledRetry::Suspended(reason)) => self.start_attempt(index, reason, now),
                 Some(ScheduledRetry::Paid(failure)) => self.try_retry(index, failure, now),
                 None => {
                     let due = self.hedge_due(&self.services[index]);
@@ -271,6 +273,11 @@
     }
 
     fn try_hedge(&mut self, index: usize, now: Instant) {
+        if self.gateway.is_suspect(&self.outgoing) {
+            // One leaf at a time gets it.
+            self.services[index].denied_until = Some(now + hedge::DENIED_DELAY);
+            return;
+        }
         let service = &mut self.services[index];
         let has_other = service.untried_leaves().next().is_some();
         if !has_other || !retry::is_allowed(&service.counts, Verdict::MayHaveRun) {
@@ -336,6 +343,10 @@
         if !self.gateway.admits(&late_request, now) {
             return self.record_no_leaf(index, Cause::Draining);
         }
+        let suspect_attempt = match self.admit_suspect(index) {
+            Ok(admitted) => admitted,
+            Err(refusal) => return self.suspend_attempt(index, reason, refusal, now),
+        };
         let leaf = match self.choose_leaf(index, now) {
             Ok(leaf) => leaf,
             Err(cause) => return self.record_no_leaf(index, cause),
@@ -347,7 +358,12 @@
                 "request" => self.id(), "leaf" => &*leaf.leaf.id, "per_s" => limit,
                 "reason" => reason.name());
         }
-        let id = self.outgoing.id.clone();
+        let judged = JudgedAttempt {
+            leaf: Arc::clone(&leaf),
+            outgoing: Arc::clone(&self.outgoing),
+            view: Arc::clone(&self.view),
+            is_repeat: suspect_attempt.is_some(),
+        };
         let attempt = Attempt {
             log: self.gateway.log.clone(),
             leaf: Arc::clone(&leaf),
@@ -363,13 +379,10 @@
         self.services[index].record_start(number, leaf, now);
         let sender = self.sender.clone();
         let gateway = Arc::clone(&self.gateway);
-        let view = Arc::clone(&self.view);
-        let leaf = Arc::clone(&attempt.leaf);
         let task = tokio::spawn(async move {
             let outcome = attempt.run(&gateway.dialect, &gateway.reply_buffers).await;
-            if outcome.is_broken() {
-                tokio::spawn(log_leaf_check(Arc::clone(&gateway), view, leaf, id));
-            }
+            gateway.judge_outcome(judged, &outcome).await;
+            drop(suspect_attempt);
             // Sending fails when the request has already ended: then the result is of no
             // use.
             let _ = sender.send(FinishedAttempt {
@@ -492,11 +505,3 @@
         )
     }
 }
-
-/// Logs whether `leaf`, which broke the connection of the request `id`, has ended.
-async fn log_leaf_check(gateway: Arc<Gateway>, view: Arc<View>, leaf: Arc<LeafHandle>, id: Name) {
-    let check = crash_check::check_leaf(&view, &leaf).await;
-    gateway.metrics.record_broken_connection(check);
-    info!(gateway.log, "crash_check: leaf broke the connection of a request"; "request" => &*id,
-        "leaf" => &*leaf.leaf.id, "started_ms" => leaf.leaf.started_ms, "leaf_is" => check.name());
-}
--- a/src/gateway/hedged_request/attempts.rs
+++ b/src/gateway/hedged_request/attempts.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        gateway::view::{LeafHandle, Service},
+        gateway::{
+            metrics::AttemptReason,
+            view::{LeafHandle, Service},
+        },
         policy::retry::AttemptCount,
         protocol::verdict::{Failure, Verdict},
         state::routes::Route,
@@ -56,6 +59,9 @@
     Free,
     /// Counts against the retry budget. Holds the failure of the last attempt.
     Paid(Failure),
+    /// An attempt that counts no more against the retry budget. It waits until it is known
+    /// whether the request crashes leaves.
+    Suspended(AttemptReason),
 }
 
 impl ServiceAttempts {
@@ -143,6 +149,12 @@
         self.retry.map(|(at, _)| at)
     }
 
+    /// Returns whether an attempt waits until it is known whether the request crashes leaves.
+    #[must_use]
+    pub fn is_suspended(&self) -> bool {
+        matches!(self.retry, Some((_, ScheduledRetry::Suspended(_))))
+    }
+
     /// Takes the scheduled retry if it is due.
     pub fn take_due_retry(&mut self, now: Instant) -> Option<ScheduledRetry> {
         self.retry
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Gateway, HostSettings,
+        Gateway, HostSettings, crashes,
         limits::{self, LimitServer},
         listener,
         registration::{self, OwnEntry},
@@ -97,6 +97,11 @@
             Arc::clone(&gateway),
             tasks_stop.clone(),
         ));
+        tokio::spawn(crashes::report_crashes(
+            Arc::clone(&gateway),
+            Arc::clone(&registry),
+            tasks_stop.clone(),
+        ));
         let registration = tokio::spawn(registration::keep_registered(
             Arc::clone(&gateway),
             registry,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,7 @@
     pub leaves: IntGauge,
     /// Entry hosts that share the fleet's limits.
     pub hosts: IntGauge,
+    held_requests: IntGauge,
     /// 1 while this host syncs from another host, 0 while it syncs from the registry.
     pub follows_host: IntGauge,
 }
@@ -204,6 +205,10 @@
             .with_label_values(&["panic"]),
             version: gauge("routes_version", "Version of the routes in force")?,
             leaves: gauge("usable_leaves", "Leaves that may get requests")?,
+            held_requests: gauge(
+                "held_requests",
+                "Requests that are held since they crash leaves",
+            )?,
             hosts: gauge("entry_hosts", "Entry hosts that share the fleet's limits")?,
             follows_host: gauge(
                 "follows_host",
@@ -235,6 +240,12 @@
         broken.with_label_values(&[check.name()]).inc();
     }
 
+    /// Records how many requests are held since they crash leaves.
+    pub fn record_held_requests(&self, count: usize) {
+        self.held_requests
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records a rejected request.
     pub fn record_rejection(&self, reason: Reason) {
         self.rejections.with_label_values(&[reason.name()]).inc();
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -5,7 +5,7 @@
 //! unavailable, other hosts are queried as well, since one of them may have a newer copy.
 
 use {
-    super::{Gateway, registration::OwnEntry, registry_view::RegistryView},
+    super::{Gateway, crashes::CopyKind, registration::OwnEntry, registry_view::RegistryView},
     crate::{
         clock::{Millis, millis},
         policy::sync_source::{self, Source, SourceBackoff},
@@ -318,6 +318,15 @@
             self.own_entry.send_replace(Some(own));
         }
         let gateway = &self.gateway;
+        let copy = is_full.then_some(if is_first_of_era {
+            CopyKind::Restored
+        } else {
+            CopyKind::Current
+        });
+        let crash_changes = std::mem::take(&mut changes.crash_changes);
+        if is_full || !crash_changes.is_empty() {
+            gateway.apply_crash_changes(crash_changes, copy);
+        }
         let is_changed = self
             .registry_view
             .apply_changes(gateway, changes, is_full, now);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -198,10 +198,12 @@
         let id = outgoing.id.clone();
         let route = Arc::clone(&self.route);
         let is_admitted = self.admit_late(&outgoing);
-        let (response, log) = match &route.destination {
+        let held = self.gateway.held_for(&outgoing);
+        let (response, log) = match (&route.destination, held) {
             _ if !is_admitted => self.reject(Reason::Stopping),
-            Destination::Split(parts) => self.relay(parts, outgoing).await,
-            Destination::Shards(shards) => self.gather(shards, outgoing).await,
+            (_, Some(left)) => self.reject_held(&outgoing, left),
+            (Destination::Split(parts), None) => self.relay(parts, outgoing).await,
+            (Destination::Shards(shards), None) => self.gather(shards, outgoing).await,
         };
         let took = self.started.elapsed();
         let status = response.status().as_u16();
@@ -240,6 +242,17 @@
         is_admitted
     }
 
+    /// Rejects a request that crashes leaves.
+    fn reject_held(
+        &self,
+        outgoing: &OutgoingRequest,
+        left: Duration,
+    ) -> (FullResponse, ResponseLog) {
+        info!(self.gateway.log, "crashes: request is held"; "request" => &*outgoing.id,
+            "fingerprint" => %outgoing.fingerprint(), "left_ms" => millis(left));
+        self.reject(Reason::Quarantined(left))
+    }
+
     /// Sends a request to one leaf and forwards its reply.
     async fn relay(
         &self,
@@ -251,12 +264,13 @@
             return self.reject(Reason::RateLimited(wait));
         }
         let deadline = outgoing.deadline;
+        let outgoing = Arc::new(outgoing);
         let mut hedged = HedgedRequest::new(
             Arc::clone(self.gateway),
             Arc::clone(&self.view),
             Arc::clone(&self.route),
             &services,
-            Arc::new(outgoing),
+            Arc::clone(&outgoing),
             self.started,
         );
         if hedged.reachable_count() == 0 {
@@ -282,10 +296,14 @@
             State::Replied(reply) | State::Failed(_, Some(reply)) => {
                 (response::forward(&self.gateway.dialect, *reply), log)
             }
-            State::Failed(failure, None) => self.respond_with_failure(failure, log),
+            State::Failed(failure, None) => self.respond_with_failure(&outgoing, failure, log),
             State::Open if self.gateway.is_stopping() && service.counts.runs == 0 => {
                 self.reject(Reason::Stopping)
             }
+            // The whole time it waited for other suspects to end.
+            State::Open if service.is_suspended() && service.counts.runs == 0 => {
+                self.reject_held(&outgoing, Duration::ZERO)
+            }
             State::Open => (timeout_response(), log),
         }
     }
@@ -336,7 +354,7 @@
                 response::merge_partials(dialect, &gathering.partials, total, shards.max_records);
             return (response, log);
         }
-        self.respond_with_failure(gathering.failure(), log)
+        self.respond_with_failure(gathering.outgoing(), gathering.failure(), log)
     }
 
     /// Admits the request; `None` when the shards are overloaded.
@@ -375,12 +393,17 @@
 
     fn respond_with_failure(
         &self,
+        outgoing: &OutgoingRequest,
         failure: Failure,
         log: ResponseLog,
     ) -> (FullResponse, ResponseLog) {
         match (failure.verdict, failure.cause) {
             (Verdict::NotRun, Cause::Shed | Cause::Overloaded) => self.reject(Reason::Full),
             (Verdict::NotRun, Cause::Draining) => self.reject(Reason::Stopping),
+            (Verdict::NotRun, Cause::Quarantined) => {
+                let left = self.gateway.held_for(outgoing);
+                self.reject_held(outgoing, left.unwrap_or_default())
+            }
             (Verdict::NotRun, _) => self.reject(Reason::Unreachable),
             (_, Cause::Deadline) => (timeout_response(), log),
             _ => {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -113,7 +113,7 @@
     limit_share: HostShare,
     /// Whether another leaf replies at its address.
     is_replaced: bool,
-    /// Until when it is taken to run, since it has accepted a connection.
+    /// Until when it is taken to run, although it breaks connections.
     running_until: Option<Instant>,
 }
 
@@ -279,12 +279,12 @@
         !std::mem::replace(&mut lock(&self.stats).is_replaced, true)
     }
 
-    /// Records that the leaf has accepted a connection, which holds until `until`.
+    /// Records that the leaf runs, although it breaks connections; that holds until `until`.
     pub fn record_running(&self, until: Instant) {
         lock(&self.stats).running_until = Some(until);
     }
 
-    /// Returns whether the leaf has accepted a connection a short time ago.
+    /// Returns whether the leaf is taken to run, although it breaks connections.
     #[must_use]
     pub fn is_known_running(&self, now: Instant) -> bool {
         let until = lock(&self.stats).running_until;
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -22,6 +22,8 @@
     RateLimited(Duration),
     /// No leaf could be reached.
     Unreachable,
+    /// Leaves have ended under the request, and none gets it for this long.
+    Quarantined(Duration),
     /// This host is stopping, and the request can't end before it has ended.
     Stopping,
 }
@@ -52,7 +54,7 @@
         Reason::NoLeaf | Reason::TooFewShards => RESTART_TIME,
         Reason::Full => baseline.map_or(DEFAULT_DELAY, |baseline| baseline * DRAIN_FACTOR),
         Reason::Overloaded => OVERLOAD_TIME,
-        Reason::RateLimited(wait) => wait,
+        Reason::RateLimited(wait) | Reason::Quarantined(wait) => wait,
         Reason::Unreachable => RESTART_TIME / 2,
         // Other hosts serve at present.
         Reason::Stopping => Duration::ZERO,
@@ -71,6 +73,7 @@
             Self::Overloaded => "overloaded",
             Self::RateLimited(_) => "rate_limited",
             Self::Unreachable => "unreachable",
+            Self::Quarantined(_) => "quarantined",
             Self::Stopping => "stopping",
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,5 +18,6 @@
 pub mod revision;
 pub mod roster;
 pub mod routes;
+pub mod suspects;
 pub mod versions;
 pub mod warmup;
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -52,8 +52,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time in which a leaf accepts or refuses a connection that only shows whether it runs: some
-/// round trips within a region.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(10);
+/// round trips within a region, and turns of a busy host.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Share of the idle timeout that a leaf states for which a connection is reused.
 const IDLE_TIMEOUT_RATIO: f64 = 0.6;
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -8,6 +8,7 @@
             revision::{Lease, Revision},
             roster::{Member, RosterChange},
             routes::RouteTable,
+            suspects::{CrashChange, Reports},
         },
     },
     bytes::Bytes,
@@ -39,6 +40,8 @@
     pub routes: Option<RouteTable>,
     /// Changes of leaves, domains and entry hosts, in order.
     pub roster_changes: Vec<RosterChange>,
+    /// Reports of leaves that ended under a request, in order.
+    pub crash_changes: Vec<CrashChange>,
     /// Key and reason of each entry that can't be decoded.
     pub unreadable: Vec<String>,
 }
@@ -48,6 +51,7 @@
     pub fn extend(&mut self, later: Self) {
         self.routes = later.routes.or(self.routes.take());
         self.roster_changes.extend(later.roster_changes);
+        self.crash_changes.extend(later.crash_changes);
         self.unreadable.extend(later.unreadable);
     }
 }
@@ -137,6 +141,13 @@
     /// the era of the registry. A call without a reply may take effect later.
     fn register(&self, member: &Member) -> impl Future<Output = Result<u64, RegistryError>> + Send;
 
+    /// Adds and withdraws reports of leaves that ended under a request. Returns the era of the
+    /// registry. A call without a reply may take effect later.
+    fn report_crashes(
+        &self,
+        reports: &Reports,
+    ) -> impl Future<Output = Result<u64, RegistryError>> + Send;
+
     /// Renews the lease with the id of `lease`; returns the era of the registry.
     fn renew(&self, lease: Lease) -> impl Future<Output = Result<u64, RegistryError>> + Send;
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod snapshots;
 mod support;
+mod suspects;
 mod targets;
 mod verdicts;
 mod world;
