Log and count whether a host reaches any leaf

A host that has heard nothing from any leaf for 0.4 s while attempts wait asks one for a connection, and five more if that one is silent; if none accepts, it is cut off, until a leaf that it asks, one at a time, accepts. Log: leaf_reach, cut_off in subquery: received. Metric: briarquay_cut_off. Nothing is decided by it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod hedged_request;
 pub mod helpers;
 pub mod host;
+pub mod leaf_reach;
 pub mod limits;
 pub mod listener;
 pub mod metrics;
@@ -38,6 +39,7 @@
 
 pub use self::{
     crashes::CrashRecords,
+    leaf_reach::LeafReach,
     limits::LimitSharing,
     metrics::Metrics,
     settings::{HostSettings, ReloadableSettings},
@@ -91,6 +93,8 @@
     pub limits: LimitSharing,
     /// Requests under which leaves ended.
     pub crashes: CrashRecords,
+    /// Whether this host reaches leaves.
+    pub leaf_reach: LeafReach,
     /// What the last renewal of this host's lease has shown about the registry.
     pub registry_contact: watch::Sender<RegistryContact>,
     view: ArcSwap<View>,
@@ -129,6 +133,7 @@
             reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
             crashes: CrashRecords::default(),
+            leaf_reach: LeafReach::default(),
             registry_contact: watch::Sender::default(),
             view: ArcSwap::default(),
             stop_schedule: watch::Sender::default(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,7 +1,10 @@
 //! One attempt: sends a request to one leaf and reads the reply.
 
 use {
-    super::view::{InFlight, LeafHandle},
+    super::{
+        Gateway,
+        view::{InFlight, LeafHandle},
+    },
     crate::{
         collections::Name,
         protocol::{
@@ -10,7 +13,7 @@
             verdict::{Cause, Failure, Verdict},
         },
         state::relative_latency::BaselineLatency,
-        transport::leaf::{Connection, LeafReply, ReplyBuffers, Slot, UsedConnections},
+        transport::leaf::{Connection, LeafReply, Slot, UsedConnections},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -139,10 +142,12 @@
 
 impl Attempt {
     /// Sends the request until its deadline and returns the result.
-    pub async fn run(self, dialect: &Dialect, buffers: &ReplyBuffers) -> Outcome {
+    pub async fn run(self, gateway: &Gateway) -> Outcome {
+        let dialect = &gateway.dialect;
+        gateway.leaf_reach.record_attempt();
         let in_flight = self.leaf.start_attempt(self.baseline.get(), Instant::now());
         let deadline = self.deadline.into();
-        let exchange = self.exchange(dialect, buffers, &in_flight);
+        let exchange = self.exchange(gateway, &in_flight);
         let outcome = match timeout_at(deadline, exchange).await {
             Ok(outcome) => outcome,
             Err(_) => Outcome::Failed(FailedAttempt {
@@ -154,14 +159,10 @@
         outcome
     }
 
-    async fn exchange(
-        &self,
-        dialect: &Dialect,
-        buffers: &ReplyBuffers,
-        in_flight: &InFlight,
-    ) -> Outcome {
+    async fn exchange(&self, gateway: &Gateway, in_flight: &InFlight) -> Outcome {
+        let dialect = &gateway.dialect;
         loop {
-            let (connection, permit) = match self.connect().await {
+            let (connection, permit) = match self.connect(gateway).await {
                 Ok(connected) => connected,
                 Err(cause) => {
                     return Outcome::Failed(FailedAttempt {
@@ -176,8 +177,12 @@
                     arrived: false,
                 });
             };
-            match connection.exchange(request, dialect, buffers).await {
+            match connection
+                .exchange(request, dialect, &gateway.reply_buffers)
+                .await
+            {
                 Ok((reply, reusable)) => {
+                    gateway.record_leaf_sign();
                     permit.return_connection(reusable);
                     if reply.status == StatusCode::MISDIRECTED_REQUEST {
                         self.record_replaced();
@@ -213,7 +218,10 @@
         }
     }
 
-    async fn connect(&self) -> Result<(Connection, ConnectionPermit<'_>), Cause> {
+    async fn connect(
+        &self,
+        gateway: &Gateway,
+    ) -> Result<(Connection, ConnectionPermit<'_>), Cause> {
         let used = &self.outgoing.progress.used_connections;
         let pool = &self.leaf.pool;
         let (connection, permit) = match pool.acquire(self.connections, used, Instant::now()) {
@@ -221,7 +229,9 @@
             Slot::New => {
                 let permit = ConnectionPermit::new(&self.leaf);
                 let connection = Connection::open(self.leaf.leaf.address).await;
-                (connection.map_err(|_| Cause::Unreachable)?, permit)
+                let connection = connection.map_err(|_| Cause::Unreachable)?;
+                gateway.record_leaf_sign();
+                (connection, permit)
             }
             Slot::Full => return Err(Cause::Overloaded),
         };
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -8,9 +8,13 @@
     crate::transport::leaf::{Listener, check_listener},
     futures_util::{StreamExt, stream::FuturesUnordered},
     rand::seq::IteratorRandom,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
+/// Time in which a leaf accepts or refuses a connection: some round trips within a region, and
+/// turns of a busy host.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Other leaves that are asked for a connection before this host counts as cut off: when many
 /// leaves end together, one of so many runs.
 const MAX_WITNESSES: usize = 4;
@@ -40,7 +44,7 @@
 
 /// Checks `leaf`, which broke a connection.
 pub async fn check_leaf(view: &View, leaf: &Arc<LeafHandle>) -> LeafCheck {
-    match check_listener(leaf.leaf.address).await {
+    match check_listener(leaf.leaf.address, CHECK_TIMEOUT).await {
         Listener::Accepts => LeafCheck::Running,
         Listener::Refuses if reaches_other_leaf(view, leaf).await => LeafCheck::Ended,
         Listener::Refuses | Listener::Silent => LeafCheck::Unknown,
@@ -51,7 +55,9 @@
     let all = view.services.values().flat_map(|service| &service.leaves);
     let others = all.filter(|other| other.leaf.address != leaf.leaf.address);
     let witnesses = others.sample(&mut rand::rng(), MAX_WITNESSES);
-    let checks = witnesses.iter().map(|it| check_listener(it.leaf.address));
+    let checks = witnesses
+        .iter()
+        .map(|it| check_listener(it.leaf.address, CHECK_TIMEOUT));
     let mut checks: FuturesUnordered<_> = checks.collect();
     while let Some(listener) = checks.next().await {
         if listener == Listener::Accepts {
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -380,7 +380,7 @@
         let sender = self.sender.clone();
         let gateway = Arc::clone(&self.gateway);
         let task = tokio::spawn(async move {
-            let outcome = attempt.run(&gateway.dialect, &gateway.reply_buffers).await;
+            let outcome = attempt.run(&gateway).await;
             gateway.judge_outcome(judged, &outcome).await;
             drop(suspect_attempt);
             // Sending fails when the request has already ended: then the result is of no
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Gateway, HostSettings, crashes,
+        Gateway, HostSettings, crashes, leaf_reach,
         limits::{self, LimitServer},
         listener,
         registration::{self, OwnEntry},
@@ -102,6 +102,10 @@
             Arc::clone(&registry),
             tasks_stop.clone(),
         ));
+        tokio::spawn(leaf_reach::watch_reach(
+            Arc::clone(&gateway),
+            tasks_stop.clone(),
+        ));
         let registration = tokio::spawn(registration::keep_registered(
             Arc::clone(&gateway),
             registry,
--- /dev/null
+++ b/src/gateway/leaf_reach.rs
@@ -0,0 +1,152 @@
+//! Finds out whether this host reaches leaves.
+
+use {
+    super::{
+        Gateway,
+        view::{View, lock},
+    },
+    crate::{
+        state::leaf_contact::{LeafContact, Reach},
+        transport::leaf::{Listener, check_listener},
+    },
+    futures_util::{StreamExt, stream::FuturesUnordered},
+    rand::seq::IteratorRandom,
+    slog::{info, warn},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{sync::Notify, time::sleep},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between two looks at what was heard from leaves.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time between the leaves that a host asks that is cut off.
+const RETURN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time in which a leaf accepts a connection: some round trips within a region, and turns of a
+/// busy host.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Leaves that are asked beside the first, when that one is silent: one of so many runs unless
+/// nearly all have ended.
+const MORE_LEAVES: usize = 5;
+
+/// Whether this host reaches leaves.
+#[derive(Default)]
+pub struct LeafReach {
+    contact: Mutex<LeafContact>,
+    is_cut_off: AtomicBool,
+    changed: Notify,
+}
+
+impl LeafReach {
+    /// Records that an attempt at a leaf starts.
+    pub fn record_attempt(&self) {
+        lock(&self.contact).record_attempt(Instant::now());
+    }
+
+    /// Returns whether this host reaches no leaf.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off.load(Ordering::Relaxed)
+    }
+
+    /// Waits until this host reaches no leaf.
+    pub async fn cut_off(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_cut_off() {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl Gateway {
+    /// Records a sign of a leaf: a reply, or a connection that it accepted.
+    pub fn record_leaf_sign(&self) {
+        if lock(&self.leaf_reach.contact).record_sign() {
+            self.set_cut_off(false);
+            info!(self.log, "leaf_reach: a leaf is reached again");
+        }
+    }
+
+    fn set_cut_off(&self, is_cut_off: bool) {
+        self.leaf_reach
+            .is_cut_off
+            .store(is_cut_off, Ordering::Relaxed);
+        self.metrics.cut_off.set(i64::from(is_cut_off));
+        self.leaf_reach.changed.notify_waiters();
+    }
+
+    /// Asks leaves for a connection, and records whether any accepts one.
+    async fn check_reach(&self, reach: Reach) {
+        let asked_at = Instant::now();
+        let view = self.view();
+        // Leaves that were silent for long are asked one at a time.
+        let is_reached = match reach {
+            Reach::CutOff => accepts_any(&sample_leaves(&view, 1)).await,
+            Reach::Reached => {
+                accepts_any(&sample_leaves(&view, 1)).await
+                    || accepts_any(&sample_leaves(&view, MORE_LEAVES)).await
+            }
+        };
+        if is_reached {
+            self.record_leaf_sign();
+        } else if lock(&self.leaf_reach.contact).record_no_sign(asked_at) {
+            self.set_cut_off(true);
+            warn!(self.log, "leaf_reach: no leaf is reached"; "asked" => 1 + MORE_LEAVES);
+        }
+    }
+}
+
+fn sample_leaves(view: &View, count: usize) -> Vec<SocketAddr> {
+    let leaves = view.services.values().flat_map(|service| &service.leaves);
+    let sampled = leaves.sample(&mut rand::rng(), count);
+    sampled.iter().map(|leaf| leaf.leaf.address).collect()
+}
+
+async fn accepts_any(leaves: &[SocketAddr]) -> bool {
+    let checks = leaves.iter();
+    let mut checks: FuturesUnordered<_> = checks
+        .map(|leaf| check_listener(*leaf, ACCEPT_TIMEOUT))
+        .collect();
+    while let Some(listener) = checks.next().await {
+        if listener == Listener::Accepts {
+            return true;
+        }
+    }
+    false
+}
+
+/// Checks until `stop` whether this host reaches leaves.
+pub async fn watch_reach(gateway: Arc<Gateway>, stop: CancellationToken) {
+    loop {
+        let interval = if gateway.leaf_reach.is_cut_off() {
+            RETURN_INTERVAL
+        } else {
+            CHECK_INTERVAL
+        };
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(interval) => {}
+        }
+        let reach = {
+            let contact = lock(&gateway.leaf_reach.contact);
+            contact
+                .is_check_due(Instant::now())
+                .then(|| contact.reach())
+        };
+        if let Some(reach) = reach {
+            gateway.check_reach(reach).await;
+        }
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -44,6 +44,8 @@
     /// Entry hosts that share the fleet's limits.
     pub hosts: IntGauge,
     held_requests: IntGauge,
+    /// 1 while this host reaches no leaf.
+    pub cut_off: IntGauge,
     /// 1 while this host syncs from another host, 0 while it syncs from the registry.
     pub follows_host: IntGauge,
 }
@@ -209,6 +211,7 @@
                 "held_requests",
                 "Requests that are held since they crash leaves",
             )?,
+            cut_off: gauge("cut_off", "1 while this host reaches no leaf")?,
             hosts: gauge("entry_hosts", "Entry hosts that share the fleet's limits")?,
             follows_host: gauge(
                 "follows_host",
--- a/src/gateway/subquery.rs
+++ b/src/gateway/subquery.rs
@@ -219,6 +219,7 @@
         info!(gateway.log, "subquery: received"; "request" => &*subquery.id,
             "route" => &*subquery.route, "version" => subquery.version, "shards" => subquery.services.len(),
             "reachable" => reachable, "known_ms" => millis(gateway.view_age()),
+            "cut_off" => gateway.leaf_reach.is_cut_off(),
             "cut_ms" => millis(subquery.soft_deadline), "refused" => rejection);
         if let Some(rejection) = rejection {
             return Err(rejection);
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -51,10 +51,6 @@
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time in which a leaf accepts or refuses a connection that only shows whether it runs: some
-/// round trips within a region, and turns of a busy host.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// Share of the idle timeout that a leaf states for which a connection is reused.
 const IDLE_TIMEOUT_RATIO: f64 = 0.6;
 
@@ -114,9 +110,9 @@
     Silent,
 }
 
-/// Opens a connection to `address` and closes it.
-pub async fn check_listener(address: SocketAddr) -> Listener {
-    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
+/// Opens a connection to `address` within `limit` and closes it.
+pub async fn check_listener(address: SocketAddr, limit: Duration) -> Listener {
+    match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Listener::Accepts,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Listener::Refuses,
         Ok(Err(_)) | Err(_) => Listener::Silent,
