Hand requests to other hosts while a host reaches no leaf

Cause: a host that reaches no leaf tried leaf after leaf, then all of them again, until the caller's deadline. It had no way to hand a request to a host that reaches them, and accepted subqueries that it couldn't run.

Change: a host that is cut off hands each request that no leaf may have got to another host, once, and passes its response on. It declines subqueries and requests of others. If no other host accepts a request, it is rejected at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 pub mod registration;
 pub mod registry_sync;
 pub mod registry_view;
+pub mod relay;
 pub mod response;
 pub mod serve;
 pub mod settings;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
             fingerprint::Fingerprint,
             verdict::{Cause, Failure, Verdict},
         },
-        state::relative_latency::BaselineLatency,
+        state::{relative_latency::BaselineLatency, routes::Repeats},
         transport::leaf::{Connection, LeafReply, Slot, UsedConnections},
     },
     bytes::Bytes,
@@ -105,6 +105,15 @@
 }
 
 impl Outcome {
+    /// Returns whether the leaf has sent a whole reply, of whatever kind.
+    #[must_use]
+    pub fn has_reply(&self) -> bool {
+        match self {
+            Self::Replied(_) => true,
+            Self::Failed(failed) => failed.failure.cause == Cause::Shed,
+        }
+    }
+
     /// Returns whether the leaf broke the connection while it had the request.
     #[must_use]
     pub fn is_broken(&self) -> bool {
@@ -138,23 +147,36 @@
     pub baseline: Arc<BaselineLatency>,
     /// Maximum number of connections from this host to the leaf.
     pub connections: usize,
+    /// Whether the request may run more than once.
+    pub repeats: Repeats,
 }
 
 impl Attempt {
     /// Sends the request until its deadline and returns the result.
     pub async fn run(self, gateway: &Gateway) -> Outcome {
         let dialect = &gateway.dialect;
-        gateway.leaf_reach.record_attempt();
+        let mut waiting = gateway.leaf_reach.start_attempt(self.leaf.leaf.address);
         let in_flight = self.leaf.start_attempt(self.baseline.get(), Instant::now());
         let deadline = self.deadline.into();
         let exchange = self.exchange(gateway, &in_flight);
-        let outcome = match timeout_at(deadline, exchange).await {
-            Ok(outcome) => outcome,
-            Err(_) => Outcome::Failed(FailedAttempt {
-                failure: Failure::may_have_run(Cause::Deadline),
+        let unanswered = |cause| {
+            Outcome::Failed(FailedAttempt {
+                failure: Failure::may_have_run(cause),
                 arrived: true,
-            }),
+            })
         };
+        let outcome = tokio::select! {
+            outcome = timeout_at(deadline, exchange) => {
+                outcome.unwrap_or_else(|_| unanswered(Cause::Deadline))
+            }
+            // The caller can repeat the request now; one that runs once may still get its reply.
+            () = gateway.leaf_reach.cut_off(), if self.repeats == Repeats::Safe => {
+                unanswered(Cause::Unreachable)
+            }
+        };
+        if outcome.has_reply() {
+            waiting.record_reply();
+        }
         self.record_outcome(dialect, &in_flight, &outcome);
         outcome
     }
@@ -264,6 +286,7 @@
             Outcome::Replied(_) => in_flight.record_contact(),
             Outcome::Failed(failed) => match failed.failure.cause {
                 Cause::Deadline => in_flight.record_silence(now),
+                Cause::Unreachable if failed.arrived => in_flight.record_silence(now),
                 Cause::Overloaded | Cause::Unreachable => {}
                 _ => in_flight.record_contact(),
             },
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -273,8 +273,8 @@
     }
 
     fn try_hedge(&mut self, index: usize, now: Instant) {
-        if self.gateway.is_suspect(&self.outgoing) {
-            // One leaf at a time gets it.
+        // One leaf at a time gets a suspect; none is reached while this host is cut off.
+        if self.gateway.is_suspect(&self.outgoing) || self.gateway.leaf_reach.is_cut_off() {
             self.services[index].denied_until = Some(now + hedge::DENIED_DELAY);
             return;
         }
@@ -343,6 +343,9 @@
         if !self.gateway.admits(&late_request, now) {
             return self.record_no_leaf(index, Cause::Draining);
         }
+        if self.gateway.leaf_reach.is_cut_off() {
+            return self.record_no_leaf(index, Cause::Unreachable);
+        }
         let suspect_attempt = match self.admit_suspect(index) {
             Ok(admitted) => admitted,
             Err(refusal) => return self.suspend_attempt(index, reason, refusal, now),
@@ -371,6 +374,7 @@
             deadline: self.gateway.limit_deadline(self.outgoing.deadline),
             baseline: Arc::clone(&self.baseline),
             connections: self.view.connections(&leaf.leaf.service),
+            repeats: self.route.repeats,
         };
         let rate = self.view.cold_rate(&leaf.leaf.service);
         leaf.record_warmup_attempt(rate, self.view.hosts, now);
@@ -434,12 +438,12 @@
         self.gateway.metrics.record_failed_attempt(failure.cause);
         self.rejections += usize::from(failure.cause == Cause::Shed);
         service.counts.record_failure(failure.verdict, arrived);
-        let next = retry::decide(
-            &service.counts,
-            failure,
-            arrived,
-            service.untried_leaves().next().is_some(),
-        );
+        let next = if self.gateway.leaf_reach.is_cut_off() {
+            retry::Retry::No
+        } else {
+            let has_other = service.untried_leaves().next().is_some();
+            retry::decide(&service.counts, failure, arrived, has_other)
+        };
         if failure.cause != Cause::Overloaded {
             info!(self.gateway.log, "hedged_request: send failed";
             "request" => &*self.outgoing.id, "fingerprint" => %self.outgoing.fingerprint(),
--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -3,7 +3,7 @@
 use {
     super::view::lock,
     crate::{
-        collections::{Map, Name},
+        collections::{Map, Name, hash},
         policy::{
             delegation::{self, Helper},
             helper_failure,
@@ -22,10 +22,16 @@
 /// those that do not respond.
 const MAX_DOMAIN_HELPERS: usize = 16;
 
+/// Hosts kept per domain that handle requests for this one: with most of them cut off as well,
+/// some are left.
+const MAX_DOMAIN_RELAYS: usize = 16;
+
 /// Entry hosts by domain.
 #[derive(Debug, Default)]
 pub struct HelperPool {
     domains: Map<Name, Vec<Arc<HelperHandle>>>,
+    /// Hosts that handle requests for this one while it can't reach leaves.
+    relays: Vec<Arc<HelperHandle>>,
     /// Median processor share of a host, thousandths of a core.
     median_processor: u32,
     /// Since when the hosts are these.
@@ -54,9 +60,15 @@
 }
 
 impl HelperPool {
-    /// Groups `members` by domain, and keeps the state of hosts that `before` has.
+    /// Groups `members` by domain, and keeps the state of hosts that `before` has. `own` is the
+    /// name of this host.
     #[must_use]
-    pub fn new<'a>(members: impl Iterator<Item = &'a Member>, before: &Self, now: Instant) -> Self {
+    pub fn new<'a>(
+        members: impl Iterator<Item = &'a Member>,
+        before: &Self,
+        own: &str,
+        now: Instant,
+    ) -> Self {
         let mut processors: Vec<u32> = Vec::new();
         let mut domains: Map<Name, Vec<&Member>> = Map::default();
         for member in members {
@@ -68,15 +80,32 @@
         }
         processors.sort_unstable();
         let median = processors.get(processors.len() / 2);
+        let before_handles = before.domains.values().flatten().chain(&before.relays);
+        let mut handles: Map<Name, Arc<HelperHandle>> = before_handles
+            .map(|known| (known.id.clone(), Arc::clone(known)))
+            .collect();
+        let mut handle_of = |member: &Member| {
+            let known = handles
+                .get(&member.id)
+                .filter(|known| known.matches(member));
+            let handle = known.map_or_else(|| Arc::new(HelperHandle::new(member)), Arc::clone);
+            handles.insert(member.id.clone(), Arc::clone(&handle));
+            handle
+        };
+        let seed = hash(own, 0);
+        let mut relays: Vec<Arc<HelperHandle>> = Vec::new();
         let kept = domains.into_iter().map(|(domain, mut members)| {
+            // Each host has others, so that the requests of those that are cut off spread.
+            members.sort_by_cached_key(|member| hash(&member.id, seed));
+            let others = members.iter().filter(|member| *member.id != *own);
+            relays.extend(
+                others
+                    .take(MAX_DOMAIN_RELAYS)
+                    .map(|member| handle_of(member)),
+            );
             members.sort_by_cached_key(|member| member.sort_key());
             members.truncate(MAX_DOMAIN_HELPERS);
-            let known = before.domains.get(&domain).map_or(&[][..], |known| known);
-            let handles = members.into_iter().map(|member| {
-                let known = known.iter().find(|known| known.matches(member));
-                known.map_or_else(|| Arc::new(HelperHandle::new(member)), Arc::clone)
-            });
-            (domain, handles.collect())
+            (domain, members.into_iter().map(&mut handle_of).collect())
         });
         let domains: Map<Name, Vec<Arc<HelperHandle>>> = kept.collect();
         let has_same_hosts = domains.len() == before.domains.len()
@@ -90,6 +119,7 @@
             });
         Self {
             domains,
+            relays,
             median_processor: median.copied().unwrap_or_default(),
             changed_at: before.changed_at.filter(|_| has_same_hosts).or(Some(now)),
         }
@@ -123,6 +153,13 @@
         available.cloned().collect()
     }
 
+    /// Returns the hosts that may handle a request for this one, other than those in backoff.
+    #[must_use]
+    pub fn available_relays(&self, now: Instant) -> Vec<Arc<HelperHandle>> {
+        let available = self.relays.iter().filter(|relay| relay.is_available(now));
+        available.cloned().collect()
+    }
+
     /// Returns how the retry budget for the shards of a request to `shards` shards is
     /// shared between hosts, as seen from the host `own`; `None` when each host queries all
     /// shards itself.
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -7,6 +7,7 @@
         listener,
         registration::{self, OwnEntry},
         registry_sync::RegistrySync,
+        relay::RelayServer,
         subquery::SubqueryServer,
     },
     crate::{
@@ -193,8 +194,10 @@
 async fn serve_peers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
     let subqueries = SubqueryServer(Arc::clone(&gateway));
     let limits = LimitServer(Arc::clone(&gateway));
+    let relays = RelayServer(Arc::clone(&gateway));
     let registry_copy = gateway.registry_copy.clone();
-    if let Err(error) = fleet::serve(listener, registry_copy, subqueries, limits, stop).await {
+    let served = fleet::serve(listener, registry_copy, subqueries, limits, relays, stop);
+    if let Err(error) = served.await {
         error!(gateway.log, "host: server for other entry hosts failed"; "error" => %error);
     }
 }
--- a/src/gateway/leaf_reach.rs
+++ b/src/gateway/leaf_reach.rs
@@ -6,6 +6,7 @@
         view::{View, lock},
     },
     crate::{
+        collections::{Map, Set},
         state::leaf_contact::{LeafContact, Reach},
         transport::leaf::{Listener, check_listener},
     },
@@ -13,6 +14,7 @@
     rand::seq::IteratorRandom,
     slog::{info, warn},
     std::{
+        collections::hash_map::Entry,
         net::SocketAddr,
         sync::{
             Arc, Mutex,
@@ -42,14 +44,50 @@
 #[derive(Default)]
 pub struct LeafReach {
     contact: Mutex<LeafContact>,
+    /// Addresses of the leaves at which attempts are in flight, with their number.
+    in_flight: Mutex<Map<SocketAddr, usize>>,
     is_cut_off: AtomicBool,
     changed: Notify,
 }
 
+/// An attempt at a leaf that is in flight until this is dropped.
+pub struct WaitingAttempt<'a> {
+    reach: &'a LeafReach,
+    leaf: SocketAddr,
+    has_reply: bool,
+}
+
+impl WaitingAttempt<'_> {
+    /// Records that the leaf has replied.
+    pub fn record_reply(&mut self) {
+        self.has_reply = true;
+    }
+}
+
+impl Drop for WaitingAttempt<'_> {
+    fn drop(&mut self) {
+        lock(&self.reach.contact).record_end(self.has_reply);
+        let mut in_flight = lock(&self.reach.in_flight);
+        if let Entry::Occupied(mut entry) = in_flight.entry(self.leaf) {
+            *entry.get_mut() -= 1;
+            if *entry.get() == 0 {
+                entry.remove();
+            }
+        }
+    }
+}
+
 impl LeafReach {
-    /// Records that an attempt at a leaf starts.
-    pub fn record_attempt(&self) {
-        lock(&self.contact).record_attempt(Instant::now());
+    /// Records that an attempt at the leaf with the address `leaf` starts.
+    #[must_use]
+    pub fn start_attempt(&self, leaf: SocketAddr) -> WaitingAttempt<'_> {
+        lock(&self.contact).record_start(Instant::now());
+        *lock(&self.in_flight).entry(leaf).or_default() += 1;
+        WaitingAttempt {
+            reach: self,
+            leaf,
+            has_reply: false,
+        }
     }
 
     /// Returns whether this host reaches no leaf.
@@ -73,7 +111,7 @@
 impl Gateway {
     /// Records a sign of a leaf: a reply, or a connection that it accepted.
     pub fn record_leaf_sign(&self) {
-        if lock(&self.leaf_reach.contact).record_sign() {
+        if lock(&self.leaf_reach.contact).record_sign(Instant::now()) {
             self.set_cut_off(false);
             info!(self.log, "leaf_reach: a leaf is reached again");
         }
@@ -90,13 +128,22 @@
     /// Asks leaves for a connection, and records whether any accepts one.
     async fn check_reach(&self, reach: Reach) {
         let asked_at = Instant::now();
-        let view = self.view();
-        // Leaves that were silent for long are asked one at a time.
+        // Those with attempts in flight may have left the view.
+        let waiting: Vec<SocketAddr> = lock(&self.leaf_reach.in_flight).keys().copied().collect();
+        let mut leaves: Set<SocketAddr> = waiting.iter().copied().collect();
+        leaves.extend(usable_leaves(&self.view()));
+        let first = match reach {
+            Reach::Reached if !waiting.is_empty() => sample(waiting.iter(), 1),
+            Reach::Reached | Reach::CutOff => sample(leaves.iter(), 1),
+        };
+        // Leaves that were silent for long are asked one at a time. Without a leaf to ask,
+        // nothing is known.
         let is_reached = match reach {
-            Reach::CutOff => accepts_any(&sample_leaves(&view, 1)).await,
+            Reach::CutOff => leaves.is_empty() || accepts_any(&first).await,
             Reach::Reached => {
-                accepts_any(&sample_leaves(&view, 1)).await
-                    || accepts_any(&sample_leaves(&view, MORE_LEAVES)).await
+                leaves.is_empty()
+                    || accepts_any(&first).await
+                    || accepts_any(&sample(leaves.iter(), MORE_LEAVES)).await
             }
         };
         if is_reached {
@@ -108,10 +155,13 @@
     }
 }
 
-fn sample_leaves(view: &View, count: usize) -> Vec<SocketAddr> {
+fn usable_leaves(view: &View) -> impl Iterator<Item = SocketAddr> {
     let leaves = view.services.values().flat_map(|service| &service.leaves);
-    let sampled = leaves.sample(&mut rand::rng(), count);
-    sampled.iter().map(|leaf| leaf.leaf.address).collect()
+    leaves.map(|leaf| leaf.leaf.address)
+}
+
+fn sample<'a>(leaves: impl Iterator<Item = &'a SocketAddr>, count: usize) -> Vec<SocketAddr> {
+    leaves.copied().sample(&mut rand::rng(), count)
 }
 
 async fn accepts_any(leaves: &[SocketAddr]) -> bool {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,6 +34,7 @@
     missing_shards: IntCounterVec,
     broken_connections: IntCounterVec,
     subqueries: IntCounterVec,
+    relays: IntCounterVec,
     registry_calls: IntCounterVec,
     /// Failures of the registry sync.
     pub failed_syncs: IntCounter,
@@ -132,6 +133,32 @@
     }
 }
 
+/// What became of a request that was handed to another host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayOutcome {
+    /// The host has sent the response.
+    Answered,
+    /// The host rejected it and sent nothing to leaves.
+    Rejected,
+    /// The host could not be reached, or was lost.
+    Failed,
+    /// The host did not accept it in time.
+    Late,
+}
+
+impl RelayOutcome {
+    /// Returns the name that logs and metrics use.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+            Self::Late => "late",
+        }
+    }
+}
+
 impl Metrics {
     /// Returns metrics in a new Prometheus registry.
     ///
@@ -194,6 +221,11 @@
                 "Pieces of requests handed to other hosts by outcome",
                 &["outcome"],
             )?,
+            relays: counters(
+                "relays_total",
+                "Requests handed to other hosts, since this one reaches no leaf, by outcome",
+                &["outcome"],
+            )?,
             registry_calls: counters(
                 "registry_calls_total",
                 "Calls to the registry by result",
@@ -243,6 +275,11 @@
         broken.with_label_values(&[check.name()]).inc();
     }
 
+    /// Records what became of a request that was handed to another host.
+    pub fn record_relay(&self, outcome: RelayOutcome) {
+        self.relays.with_label_values(&[outcome.name()]).inc();
+    }
+
     /// Records how many requests are held since they crash leaves.
     pub fn record_held_requests(&self, count: usize) {
         self.held_requests
--- a/src/gateway/registry_view.rs
+++ b/src/gateway/registry_view.rs
@@ -160,6 +160,7 @@
         self.helpers = Arc::new(HelperPool::new(
             self.roster.members(),
             &self.helpers,
+            &gateway.settings.id,
             Instant::now(),
         ));
         let leaves = self.usable_leaves(gateway);
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,215 @@
+//! Hands requests of callers to other hosts while this one reaches no leaf, and handles those of
+//! other hosts.
+
+use {
+    super::{
+        Gateway,
+        attempt::{OutgoingRequest, RequestProgress},
+        helpers::HelperHandle,
+        metrics::RelayOutcome,
+        response::FullResponse,
+        serve::RoutedRequest,
+    },
+    crate::{
+        clock::millis,
+        policy::relaying::{self, HostReply, RESPONSE_RESERVE},
+        transport::fleet::{
+            RelayService, RelayedCall, RelayedRequest, RelayedResponse, SubqueryRejection,
+        },
+    },
+    futures_util::future::BoxFuture,
+    http_body_util::{BodyExt, Full},
+    hyper::{Response, header},
+    rand::seq::IndexedRandom,
+    slog::info,
+    std::{sync::Arc, time::Instant},
+    tokio::time::{timeout, timeout_at},
+};
+
+/// What became of a request that was to be handed to another host.
+pub enum Relayed {
+    /// A host has sent the response.
+    Answered(FullResponse),
+    /// No host has accepted it; no leaf has got it.
+    NotRun,
+    /// A host that may have sent it to a leaf was lost.
+    MayHaveRun,
+    /// No response came before the deadline.
+    TimedOut,
+}
+
+/// Why a host did not accept a request, or did not answer it.
+struct Failed {
+    outcome: RelayOutcome,
+    reply: HostReply,
+    reason: String,
+}
+
+impl RoutedRequest<'_> {
+    /// Hands the request to another host and returns its response.
+    pub(super) async fn relay_elsewhere(&self, outgoing: &OutgoingRequest) -> Relayed {
+        let helpers = &self.view.helpers;
+        let mut hosts = helpers.available_relays(Instant::now());
+        let mut replies: Vec<HostReply> = Vec::new();
+        while relaying::asks_another(&replies, self.route.repeats) {
+            let Some(host) = hosts.choose(&mut rand::rng()).cloned() else {
+                break;
+            };
+            hosts.retain(|other| !Arc::ptr_eq(other, &host));
+            let call = match self.ask_host(&host, outgoing).await {
+                Ok(call) => call,
+                Err(failed) => {
+                    host.record_failure(Instant::now());
+                    self.log_relay(&host, outgoing, failed.outcome, &failed.reason);
+                    replies.push(failed.reply);
+                    continue;
+                }
+            };
+            host.record_acceptance();
+            return match timeout_at(outgoing.deadline.into(), call.response()).await {
+                Ok(Ok(response)) => {
+                    self.log_relay(&host, outgoing, RelayOutcome::Answered, "");
+                    Relayed::Answered(build_response(response))
+                }
+                Ok(Err(reason)) => {
+                    self.log_relay(&host, outgoing, RelayOutcome::Failed, &reason);
+                    Relayed::MayHaveRun
+                }
+                Err(_) => Relayed::TimedOut,
+            };
+        }
+        if replies.contains(&HostReply::Silent) {
+            Relayed::MayHaveRun
+        } else {
+            Relayed::NotRun
+        }
+    }
+
+    /// Asks `host` to handle the request; returns once it has accepted.
+    async fn ask_host(
+        &self,
+        host: &HelperHandle,
+        outgoing: &OutgoingRequest,
+    ) -> Result<RelayedCall, Failed> {
+        let now = Instant::now();
+        let left = outgoing.deadline.saturating_duration_since(now);
+        let call = host.channel.send_request(RelayedRequest {
+            id: outgoing.id.clone(),
+            version: self.version,
+            method: outgoing.method.clone(),
+            uri: outgoing.uri.clone(),
+            headers: outgoing.headers.clone(),
+            body: outgoing.body.clone(),
+            age: now.saturating_duration_since(self.started) + RESPONSE_RESERVE,
+            deadline: left.saturating_sub(RESPONSE_RESERVE),
+        });
+        let limit = relaying::accept_timeout(self.route.objective, self.route.repeats);
+        let Ok(accepted) = timeout(limit.unwrap_or(left).min(left), call).await else {
+            return Err(Failed {
+                outcome: RelayOutcome::Late,
+                reply: HostReply::Silent,
+                reason: "not accepted in time".to_owned(),
+            });
+        };
+        accepted.map_err(|rejection| match rejection {
+            SubqueryRejection::Unreachable(reason) => Failed {
+                outcome: RelayOutcome::Failed,
+                reply: HostReply::Declined,
+                reason,
+            },
+            SubqueryRejection::Refused(reason) => Failed {
+                outcome: RelayOutcome::Rejected,
+                reply: HostReply::Declined,
+                reason,
+            },
+            SubqueryRejection::Broken(reason) => Failed {
+                outcome: RelayOutcome::Failed,
+                reply: HostReply::Silent,
+                reason,
+            },
+        })
+    }
+
+    fn log_relay(
+        &self,
+        host: &HelperHandle,
+        outgoing: &OutgoingRequest,
+        outcome: RelayOutcome,
+        reason: &str,
+    ) {
+        self.gateway.metrics.record_relay(outcome);
+        info!(self.gateway.log, "relay: request handed to another host"; "request" => &*outgoing.id,
+            "route" => &*self.route.name, "host" => &*host.id, "outcome" => outcome.name(),
+            "reason" => reason, "took_ms" => millis(self.started.elapsed()));
+    }
+}
+
+fn build_response(relayed: RelayedResponse) -> FullResponse {
+    let mut response = Response::new(Full::new(relayed.body));
+    *response.status_mut() = relayed.status;
+    *response.headers_mut() = relayed.headers;
+    response
+}
+
+/// Handles requests for hosts that reach no leaf.
+pub struct RelayServer(pub Arc<Gateway>);
+
+impl RelayService for RelayServer {
+    fn handle(
+        &self,
+        request: RelayedRequest,
+    ) -> Result<BoxFuture<'static, RelayedResponse>, &'static str> {
+        let gateway = Arc::clone(&self.0);
+        let view = gateway.view();
+        let host = request.headers.get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let routes = view.routes.as_deref();
+        let known = routes.map_or(0, |routes| routes.version);
+        let route = routes.and_then(|routes| routes.route(host, request.uri.path()));
+        let rejection = match &route {
+            _ if gateway.is_stopping() => Some("stopping"),
+            _ if gateway.leaf_reach.is_cut_off() => Some("cut off from the leaves"),
+            _ if known < request.version => Some("older routes"),
+            None => Some("no route"),
+            Some(_) => None,
+        };
+        info!(gateway.log, "relay: received"; "request" => &*request.id,
+            "version" => request.version, "known_version" => known,
+            "age_ms" => millis(request.age), "refused" => rejection);
+        let (None, Some(route)) = (rejection, route) else {
+            return Err(rejection.unwrap_or("no route"));
+        };
+        let route = Arc::clone(route);
+        let now = Instant::now();
+        let started = now.checked_sub(request.age).unwrap_or(now);
+        // A stop waits until the token is dropped, with the response.
+        let token = gateway.subqueries.token();
+        Ok(Box::pin(async move {
+            let handled = RoutedRequest {
+                gateway: &gateway,
+                view,
+                route,
+                version: known,
+                started,
+                is_relayed: true,
+            };
+            let outgoing = OutgoingRequest {
+                id: request.id,
+                method: request.method,
+                uri: request.uri,
+                headers: request.headers,
+                body: request.body,
+                deadline: now + request.deadline,
+                progress: RequestProgress::default(),
+            };
+            let (head, body) = handled.respond(outgoing).await.into_parts();
+            drop(token);
+            let Ok(body) = body.collect().await;
+            RelayedResponse {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+            }
+        }))
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -6,6 +6,7 @@
         attempt::{OutgoingRequest, RequestProgress},
         gather::ScatterGather,
         hedged_request::{HedgedRequest, attempts::State},
+        relay::Relayed,
         response::{self, FullResponse},
         view::{View, lock},
     },
@@ -15,6 +16,7 @@
         policy::{
             admission::Admission,
             rejection::{self, Reason},
+            relaying::{self, RelayFacts},
             response_timing::Wait,
             shutdown::LateRequest,
         },
@@ -76,6 +78,7 @@
         route,
         version: routes.version,
         started,
+        is_relayed: false,
     };
     request.respond(outgoing).await
 }
@@ -174,12 +177,14 @@
 }
 
 /// A request with its route.
-struct RoutedRequest<'a> {
-    gateway: &'a Arc<Gateway>,
-    view: Arc<View>,
-    route: Arc<Route>,
-    version: u64,
-    started: Instant,
+pub(super) struct RoutedRequest<'a> {
+    pub(super) gateway: &'a Arc<Gateway>,
+    pub(super) view: Arc<View>,
+    pub(super) route: Arc<Route>,
+    pub(super) version: u64,
+    pub(super) started: Instant,
+    /// Whether another host has handed it to this one.
+    pub(super) is_relayed: bool,
 }
 
 /// How a response came about, for the log.
@@ -194,7 +199,7 @@
 }
 
 impl RoutedRequest<'_> {
-    async fn respond(self, outgoing: OutgoingRequest) -> FullResponse {
+    pub(super) async fn respond(self, outgoing: OutgoingRequest) -> FullResponse {
         let id = outgoing.id.clone();
         let route = Arc::clone(&self.route);
         let is_admitted = self.admit_late(&outgoing);
@@ -202,6 +207,7 @@
         let (response, log) = match (&route.destination, held) {
             _ if !is_admitted => self.reject(Reason::Stopping),
             (_, Some(left)) => self.reject_held(&outgoing, left),
+            _ if self.should_relay(false) => self.relay_or_reject(&outgoing).await,
             (Destination::Split(parts), None) => self.relay(parts, outgoing).await,
             (Destination::Shards(shards), None) => self.gather(shards, outgoing).await,
         };
@@ -296,7 +302,7 @@
             State::Replied(reply) | State::Failed(_, Some(reply)) => {
                 (response::forward(&self.gateway.dialect, *reply), log)
             }
-            State::Failed(failure, None) => self.respond_with_failure(&outgoing, failure, log),
+            State::Failed(failure, None) => self.respond_or_relay(&outgoing, failure, log).await,
             State::Open if self.gateway.is_stopping() && service.counts.runs == 0 => {
                 self.reject(Reason::Stopping)
             }
@@ -354,7 +360,52 @@
                 response::merge_partials(dialect, &gathering.partials, total, shards.max_records);
             return (response, log);
         }
-        self.respond_with_failure(gathering.outgoing(), gathering.failure(), log)
+        let failure = gathering.failure();
+        self.respond_or_relay(gathering.outgoing(), failure, log)
+            .await
+    }
+
+    /// Returns whether another host should handle the request, which a leaf may have got if
+    /// `may_have_run`.
+    fn should_relay(&self, may_have_run: bool) -> bool {
+        relaying::should_relay(&RelayFacts {
+            is_cut_off: self.gateway.leaf_reach.is_cut_off(),
+            is_relayed: self.is_relayed,
+            may_have_run,
+        })
+    }
+
+    /// Hands the request to another host, or rejects it if none accepts it.
+    async fn relay_or_reject(&self, outgoing: &OutgoingRequest) -> (FullResponse, ResponseLog) {
+        let log = ResponseLog::default();
+        let relayed = tokio::select! {
+            relayed = self.relay_elsewhere(outgoing) => relayed,
+            () = self.gateway.last_response_due() => Relayed::MayHaveRun,
+        };
+        match relayed {
+            Relayed::Answered(response) => (response, log),
+            Relayed::NotRun => self.reject(Reason::Unreachable),
+            Relayed::MayHaveRun => {
+                let message = "another host was lost with the request";
+                (response::plain_text(StatusCode::BAD_GATEWAY, message), log)
+            }
+            Relayed::TimedOut => (timeout_response(), log),
+        }
+    }
+
+    /// Responds to a request that failed, or hands it to another host while this one reaches no
+    /// leaf and none has got it.
+    async fn respond_or_relay(
+        &self,
+        outgoing: &OutgoingRequest,
+        failure: Failure,
+        log: ResponseLog,
+    ) -> (FullResponse, ResponseLog) {
+        let may_have_run = failure.verdict != Verdict::NotRun;
+        if failure.cause == Cause::Unreachable && self.should_relay(may_have_run) {
+            return self.relay_or_reject(outgoing).await;
+        }
+        self.respond_with_failure(outgoing, failure, log)
     }
 
     /// Admits the request; `None` when the shards are overloaded.
--- a/src/gateway/subquery.rs
+++ b/src/gateway/subquery.rs
@@ -212,6 +212,8 @@
             Some("stopping")
         } else if view.routes.is_none() {
             Some("no routes")
+        } else if gateway.leaf_reach.is_cut_off() {
+            Some("cut off from the leaves")
         } else {
             None
         };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,6 +9,7 @@
 pub mod limit_sharing;
 pub mod merge;
 pub mod rejection;
+pub mod relaying;
 pub mod response_timing;
 pub mod retry;
 pub mod shutdown;
--- a/src/state/leaf_contact.rs
+++ b/src/state/leaf_contact.rs
@@ -24,7 +24,10 @@
 #[derive(Debug, Default)]
 pub struct LeafContact {
     reach: Reach,
-    /// Start of the first attempt since the last sign of a leaf.
+    /// Attempts in flight.
+    in_flight: usize,
+    /// Since when a sign of a leaf is awaited: the last sign, or the first attempt after all
+    /// earlier ones had got a reply. `None` while no attempt awaits one.
     waiting_since: Option<Instant>,
 }
 
@@ -36,14 +39,24 @@
     }
 
     /// Records that an attempt at a leaf starts.
-    pub fn record_attempt(&mut self, now: Instant) {
+    pub fn record_start(&mut self, now: Instant) {
         self.waiting_since.get_or_insert(now);
+        self.in_flight += 1;
+    }
+
+    /// Records that an attempt has ended. One without a reply leaves it open whether leaves are
+    /// reached.
+    pub fn record_end(&mut self, has_reply: bool) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if has_reply && self.in_flight == 0 {
+            self.waiting_since = None;
+        }
     }
 
     /// Records a sign of a leaf: a reply, or a connection that it accepted. Returns whether the
     /// host was cut off until now.
-    pub fn record_sign(&mut self) -> bool {
-        self.waiting_since = None;
+    pub fn record_sign(&mut self, now: Instant) -> bool {
+        self.waiting_since = (self.in_flight > 0).then_some(now);
         std::mem::take(&mut self.reach) == Reach::CutOff
     }
 
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -8,7 +8,7 @@
         clock::{Millis, millis},
         protocol::generated::{
             ChangedEntry, FollowRequest, GatherRequest, GatheredParts, LimitsReply, LimitsRequest,
-            SnapshotReply, SnapshotRequest, Update as WireUpdate,
+            RelayReply, RelayRequest, SnapshotReply, SnapshotRequest, Update as WireUpdate,
             fleet_client::FleetClient,
             fleet_server::{Fleet, FleetServer},
         },
@@ -36,15 +36,17 @@
 mod entries;
 mod limits;
 mod registry_copy;
+mod relay;
 mod subquery;
 
 pub use self::{
-    channel::{PeerChannel, SubqueryRejection},
+    channel::{PeerChannel, RelayedCall, SubqueryRejection},
     entries::{EncodedEntries, WireEntries, unpack},
     limits::LimitService,
     registry_copy::{
         ChangeBatch, FollowerGuard, MissingChanges, RegistryCopy, RegistryState, SyncStatus,
     },
+    relay::{RelayService, RelayedRequest, RelayedResponse},
     subquery::{LostShard, PartialResult, Subquery, SubqueryService},
 };
 
@@ -117,18 +119,20 @@
     }
 }
 
-/// Server side of the service: this host's registry copy, what runs subqueries, and what
-/// allocates the rate limits of leaves.
-struct FleetService<P, L> {
+/// Server side of the service: this host's registry copy, what runs subqueries, what allocates
+/// the rate limits of leaves, and what handles requests for other hosts.
+struct FleetService<P, L, R> {
     registry_copy: RegistryCopy,
     subqueries: P,
     limits: L,
+    relays: R,
 }
 
 #[tonic::async_trait]
-impl<P: SubqueryService, L: LimitService> Fleet for FleetService<P, L> {
+impl<P: SubqueryService, L: LimitService, R: RelayService> Fleet for FleetService<P, L, R> {
     type FollowStream = BoxStream<'static, Result<WireUpdate, Status>>;
     type GatherStream = BoxStream<'static, Result<GatheredParts, Status>>;
+    type RelayStream = BoxStream<'static, Result<RelayReply, Status>>;
 
     async fn snapshot(
         &self,
@@ -198,6 +202,17 @@
         Ok(Response::new(results.boxed()))
     }
 
+    async fn relay(
+        &self,
+        request: Request<RelayRequest>,
+    ) -> Result<Response<Self::RelayStream>, Status> {
+        let request = RelayedRequest::try_from(request.into_inner())?;
+        let response = self.relays.handle(request);
+        let response = response.map_err(Status::failed_precondition)?;
+        let replies = stream::once(response).map(|response| Ok(RelayReply::from(response)));
+        Ok(Response::new(replies.boxed()))
+    }
+
     async fn share_limits(
         &self,
         request: Request<LimitsRequest>,
@@ -275,8 +290,8 @@
     Ok(entries.collect())
 }
 
-/// Serves the registry copy to other hosts, runs subqueries for them and allocates the rate
-/// limits of leaves, until `stop`.
+/// Serves the registry copy to other hosts, runs subqueries for them, allocates the rate limits
+/// of leaves and handles requests for hosts that can't reach leaves, until `stop`.
 ///
 /// # Errors
 ///
@@ -286,12 +301,14 @@
     registry_copy: RegistryCopy,
     subqueries: impl SubqueryService,
     limits: impl LimitService,
+    relays: impl RelayService,
     stop: CancellationToken,
 ) -> Result<(), tonic::transport::Error> {
     let service = FleetServer::new(FleetService {
         registry_copy,
         subqueries,
         limits,
+        relays,
     });
     let service = service.max_encoding_message_size(MAX_MESSAGE_BYTES);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
--- a/src/transport/fleet/channel.rs
+++ b/src/transport/fleet/channel.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         REPLY_TIMEOUT, limits,
+        relay::{RelayedRequest, RelayedResponse},
         subquery::{PartialResult, Subquery},
     },
     crate::{
         collections::Name,
-        protocol::generated::{GatherRequest, fleet_client::FleetClient},
+        protocol::generated::{GatherRequest, RelayReply, RelayRequest, fleet_client::FleetClient},
         state::{leaf_limit::Share, rate_allocator::Claim},
         transport::leaf::enable_keepalive,
     },
@@ -26,7 +27,7 @@
         task::{Context, Poll},
     },
     tokio::{net::TcpStream, time::timeout},
-    tonic::{Code, body::Body},
+    tonic::{Code, Streaming, body::Body},
     tower::Service,
 };
 
@@ -49,6 +50,23 @@
     Broken(String),
 }
 
+/// A request that another host has accepted.
+pub struct RelayedCall(Streaming<RelayReply>);
+
+impl RelayedCall {
+    /// Returns the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host is lost; leaves may have got the request.
+    pub async fn response(mut self) -> Result<RelayedResponse, String> {
+        let reply = self.0.message().await;
+        let reply = reply.map_err(|status| status.message().to_owned())?;
+        let reply = reply.ok_or_else(|| "ended early".to_owned())?;
+        RelayedResponse::try_from(reply)
+    }
+}
+
 impl PeerChannel {
     /// Returns a link to the host at `address`, without connecting.
     #[must_use]
@@ -89,6 +107,28 @@
         }
     }
 
+    /// Sends a request of a caller, which the host handles. Once the host has accepted it,
+    /// returns its response to come. Dropping that makes the host cancel the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not accept the request; the error shows whether leaves may have
+    /// got it.
+    pub async fn send_request(
+        &self,
+        request: RelayedRequest,
+    ) -> Result<RelayedCall, SubqueryRejection> {
+        let client = self.open_client().await;
+        let mut client = client.map_err(SubqueryRejection::Unreachable)?;
+        match client.relay(RelayRequest::from(request)).await {
+            Ok(response) => Ok(RelayedCall(response.into_inner())),
+            Err(status) if status.code() == Code::FailedPrecondition => {
+                Err(SubqueryRejection::Refused(status.message().to_owned()))
+            }
+            Err(status) => Err(SubqueryRejection::Broken(status.message().to_owned())),
+        }
+    }
+
     /// Claims shares of the rate limits of leaves for the host `host`, and returns a share
     /// for each claim.
     ///
--- a/src/transport/fleet/subquery.rs
+++ b/src/transport/fleet/subquery.rs
@@ -90,12 +90,8 @@
 
 impl From<Subquery> for GatherRequest {
     fn from(subquery: Subquery) -> Self {
-        let headers = subquery.headers.iter().map(|(name, value)| HeaderField {
-            name: name.as_str().to_owned(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        });
         Self {
-            headers: headers.collect(),
+            headers: encode_headers(&subquery.headers),
             id: subquery.id.to_string(),
             route: subquery.route.to_string(),
             version: subquery.version,
@@ -119,15 +115,7 @@
 
     fn try_from(request: GatherRequest) -> Result<Self, Status> {
         let invalid = |field: &str| Status::failed_precondition(format!("{field} can't be read"));
-        let mut headers = HeaderMap::with_capacity(request.headers.len());
-        for field in request.headers {
-            let name: Result<HeaderName, _> = field.name.parse();
-            let value = HeaderValue::from_maybe_shared(field.value);
-            let (Ok(name), Ok(value)) = (name, value) else {
-                return Err(invalid("a header"));
-            };
-            headers.append(name, value);
-        }
+        let headers = decode_headers(request.headers).ok_or_else(|| invalid("a header"))?;
         let method = request.method.parse().map_err(|_| invalid("the method"));
         let uri = request.uri.parse().map_err(|_| invalid("the path"));
         Ok(Self {
@@ -186,7 +174,27 @@
     }
 }
 
-fn saturating_micros(time: Duration) -> u64 {
+/// Encodes headers.
+pub(super) fn encode_headers(headers: &HeaderMap) -> Vec<HeaderField> {
+    let fields = headers.iter().map(|(name, value)| HeaderField {
+        name: name.as_str().to_owned(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    });
+    fields.collect()
+}
+
+/// Decodes headers; `None` if one is not valid.
+pub(super) fn decode_headers(fields: Vec<HeaderField>) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name: HeaderName = field.name.parse().ok()?;
+        let value = HeaderValue::from_maybe_shared(field.value).ok()?;
+        headers.append(name, value);
+    }
+    Some(headers)
+}
+
+pub(super) fn saturating_micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -17,14 +17,14 @@
         transport::{
             fleet::{
                 self, ChangeBatch, EncodedEntries, LimitService, MissingChanges, PartialResult,
-                RegistryCopy, RegistryState, Subquery, SubqueryService, SyncStatus, WireEntries,
-                unpack,
+                RegistryCopy, RegistryState, RelayService, RelayedRequest, RelayedResponse,
+                Subquery, SubqueryService, SyncStatus, WireEntries, unpack,
             },
             registry::Entry,
         },
     },
     bytes::Bytes,
-    futures_util::stream::BoxStream,
+    futures_util::{future::BoxFuture, stream::BoxStream},
     std::{sync::Arc, time::Duration},
     tokio::net::TcpListener,
     tokio_util::sync::CancellationToken,
@@ -336,6 +336,15 @@
     }
 }
 
+impl RelayService for Idle {
+    fn handle(
+        &self,
+        _: RelayedRequest,
+    ) -> Result<BoxFuture<'static, RelayedResponse>, &'static str> {
+        Err("idle")
+    }
+}
+
 /// Returns registry entries like those of the leaves of a large fleet.
 fn many_entries(count: usize) -> Vec<Entry> {
     let entries = (0..count).map(|number| {
@@ -403,6 +412,7 @@
         copy.clone(),
         Idle,
         Idle,
+        Idle,
         stop.clone(),
     ));
 
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -5,6 +5,7 @@
         policy::{
             hedge::{self, AttemptState},
             leaf_selection::{self, Candidate},
+            relaying::{self, HostReply, RelayFacts},
             response_timing::{self, Progress, Wait},
             shutdown::{LateRequest, StopSchedule},
         },
@@ -426,3 +427,46 @@
     };
     assert!(!schedule.admits(&slow, start));
 }
+
+#[test]
+fn a_request_is_relayed_once_and_only_if_no_leaf_may_have_got_it() {
+    let cut_off = RelayFacts {
+        is_cut_off: true,
+        is_relayed: false,
+        may_have_run: false,
+    };
+    assert!(relaying::should_relay(&cut_off));
+    for facts in [
+        RelayFacts {
+            is_cut_off: false,
+            ..cut_off
+        },
+        RelayFacts {
+            is_relayed: true,
+            ..cut_off
+        },
+        RelayFacts {
+            may_have_run: true,
+            ..cut_off
+        },
+    ] {
+        assert!(!relaying::should_relay(&facts), "{facts:?}");
+    }
+}
+
+#[test]
+fn a_request_that_runs_once_goes_to_no_other_host_after_one_that_fell_silent() {
+    use HostReply::{Declined, Silent};
+    for repeats in [Repeats::Safe, Repeats::Never] {
+        assert!(relaying::asks_another(&[], repeats));
+        assert!(relaying::asks_another(&[Declined; 5], repeats));
+        assert!(!relaying::asks_another(&[Declined; 6], repeats));
+    }
+    assert!(!relaying::asks_another(&[Silent], Repeats::Never));
+    assert!(relaying::asks_another(&[Declined, Silent], Repeats::Safe));
+    assert!(!relaying::asks_another(&[Silent, Silent], Repeats::Safe));
+    assert_eq!(
+        relaying::accept_timeout(Duration::from_secs(1), Repeats::Never),
+        None
+    );
+}
