Ask the only other host again that was late once

Cause: a host that didn't accept a request in time, or declined it while it was cut off itself, is in backoff for 1 s and more. With no other host left, requests were rejected although it reached leaves.

Change: hosts in backoff are asked last, two of them at most.

--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -11,6 +11,7 @@
         state::{fleet_budget::BudgetShare, roster::Member},
         transport::fleet::PeerChannel,
     },
+    rand::seq::SliceRandom,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -26,6 +27,10 @@
 /// some are left.
 const MAX_DOMAIN_RELAYS: usize = 16;
 
+/// Hosts in backoff that are asked all the same when no other one accepts a request: the only
+/// host that reaches leaves may have been late once.
+const MAX_RESTING_RELAYS: usize = 2;
+
 /// Entry hosts by domain.
 #[derive(Debug, Default)]
 pub struct HelperPool {
@@ -153,11 +158,17 @@
         available.cloned().collect()
     }
 
-    /// Returns the hosts that may handle a request for this one, other than those in backoff.
+    /// Returns the hosts that may handle a request for this one, in the order in which they are
+    /// asked: in a random one, those in backoff last and only [`MAX_RESTING_RELAYS`] of them.
     #[must_use]
-    pub fn available_relays(&self, now: Instant) -> Vec<Arc<HelperHandle>> {
-        let available = self.relays.iter().filter(|relay| relay.is_available(now));
-        available.cloned().collect()
+    pub fn choose_relays(&self, now: Instant) -> Vec<Arc<HelperHandle>> {
+        let relays = self.relays.iter().cloned();
+        let (mut chosen, mut resting): (Vec<_>, Vec<_>) =
+            relays.partition(|relay| relay.is_available(now));
+        chosen.shuffle(&mut rand::rng());
+        resting.shuffle(&mut rand::rng());
+        chosen.extend(resting.into_iter().take(MAX_RESTING_RELAYS));
+        chosen
     }
 
     /// Returns how the retry budget for the shards of a request to `shards` shards is
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,7 +20,6 @@
     futures_util::future::BoxFuture,
     http_body_util::{BodyExt, Full},
     hyper::{Response, header},
-    rand::seq::IndexedRandom,
     slog::info,
     std::{sync::Arc, time::Instant},
     tokio::time::{timeout, timeout_at},
@@ -48,14 +47,11 @@
 impl RoutedRequest<'_> {
     /// Hands the request to another host and returns its response.
     pub(super) async fn relay_elsewhere(&self, outgoing: &OutgoingRequest) -> Relayed {
-        let helpers = &self.view.helpers;
-        let mut hosts = helpers.available_relays(Instant::now());
         let mut replies: Vec<HostReply> = Vec::new();
-        while relaying::asks_another(&replies, self.route.repeats) {
-            let Some(host) = hosts.choose(&mut rand::rng()).cloned() else {
+        for host in self.view.helpers.choose_relays(Instant::now()) {
+            if !relaying::asks_another(&replies, self.route.repeats) {
                 break;
-            };
-            hosts.retain(|other| !Arc::ptr_eq(other, &host));
+            }
             let call = match self.ask_host(&host, outgoing).await {
                 Ok(call) => call,
                 Err(failed) => {
