Pass large responses of other hosts on

Callers saw: 502 for a response of over 4 MiB at a host that reaches no leaf.

Cause: messages between hosts had gRPC's default limit of 4 MiB, except for copies of the registry; leaves may send 8 MiB.

Change: both ends of calls between hosts take messages of 32 MiB, as copies of the registry do. That also holds for request bodies in subqueries.

--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -310,7 +310,9 @@
         limits,
         relays,
     });
-    let service = service.max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let service = service
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
--- a/src/transport/fleet/channel.rs
+++ b/src/transport/fleet/channel.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        REPLY_TIMEOUT, limits,
+        MAX_MESSAGE_BYTES, REPLY_TIMEOUT, limits,
         relay::{RelayedRequest, RelayedResponse},
         subquery::{PartialResult, Subquery},
     },
@@ -150,7 +150,8 @@
         let sender = sender.map_err(|error| error.to_string())?;
         let origin = Uri::try_from(format!("http://{}", self.address));
         let origin = origin.map_err(|error| error.to_string())?;
-        Ok(FleetClient::with_origin(SenderService(sender), origin))
+        let client = FleetClient::with_origin(SenderService(sender), origin);
+        Ok(client.max_decoding_message_size(MAX_MESSAGE_BYTES))
     }
 
     /// Returns a sender on an open connection, and connects when there is none.
