--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,10 @@
 //!    [`transport::leaf`](crate::transport::leaf);
 //! 5. [`response`] builds the caller's response from the replies.
 //!
+//! Two modules watch what attempts show: [`crashes`] recognises requests under which leaves end,
+//! and [`leaf_reach`] whether this host reaches leaves; while it doesn't, [`relay`] hands requests
+//! to other hosts.
+//!
 //! [`registry_sync`] syncs from the registry, or from another host that does, and publishes the
 //! result as a [`View`]; [`registration`] keeps this host registered.
 
--- a/src/gateway/gather.rs
+++ b/src/gateway/gather.rs
@@ -19,7 +19,7 @@
         },
         protocol::verdict::{Cause, Failure, Verdict},
         state::routes::{Route, Shards},
-        transport::fleet::{LostShard, PartialResult, SubqueryRejection},
+        transport::fleet::{LostShard, PartialResult, PeerRejection},
     },
     futures_util::{FutureExt, StreamExt, stream::BoxStream},
     slog::info,
@@ -335,11 +335,11 @@
                 self.failed_shards.extend(partial.lost.iter().cloned());
                 self.partials.push(partial);
             }
-            SubqueryEvent::NotAccepted(SubqueryRejection::Broken(reason)) => {
+            SubqueryEvent::NotAccepted(PeerRejection::Broken(reason)) => {
                 self.fail_subquery(index, Stage::Sent, &reason);
             }
             SubqueryEvent::NotAccepted(
-                SubqueryRejection::Unreachable(reason) | SubqueryRejection::Refused(reason),
+                PeerRejection::Unreachable(reason) | PeerRejection::Refused(reason),
             ) => {
                 self.fail_subquery(index, Stage::NotTaken, &reason);
             }
--- a/src/gateway/gather/delegated.rs
+++ b/src/gateway/gather/delegated.rs
@@ -10,7 +10,7 @@
             subquery::{self, SubqueryTask},
             view::View,
         },
-        transport::fleet::{PartialResult, SubqueryRejection},
+        transport::fleet::{PartialResult, PeerRejection},
     },
     futures_util::{
         StreamExt,
@@ -56,7 +56,7 @@
     /// The helper accepted the subquery.
     Accepted,
     /// The helper did not accept the subquery.
-    NotAccepted(SubqueryRejection),
+    NotAccepted(PeerRejection),
     /// A partial result arrived.
     Partial(PartialResult),
     /// No more partial results will come; with a reason when the helper was lost.
@@ -90,8 +90,8 @@
     pub(super) fn handoff_outcome(&self) -> Option<SubqueryOutcome> {
         match self {
             Self::Accepted => Some(SubqueryOutcome::Accepted),
-            Self::NotAccepted(SubqueryRejection::Refused(_)) => Some(SubqueryOutcome::Rejected),
-            Self::NotAccepted(SubqueryRejection::Unreachable(_) | SubqueryRejection::Broken(_)) => {
+            Self::NotAccepted(PeerRejection::Refused(_)) => Some(SubqueryOutcome::Rejected),
+            Self::NotAccepted(PeerRejection::Unreachable(_) | PeerRejection::Broken(_)) => {
                 Some(SubqueryOutcome::Failed)
             }
             Self::Partial(_) | Self::Ended(_) => None,
--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -159,7 +159,7 @@
     }
 
     /// Returns the hosts that may handle a request for this one, in the order in which they are
-    /// asked: in a random one, those in backoff last and only [`MAX_RESTING_RELAYS`] of them.
+    /// asked: in a random one, those in backoff last and only two of them.
     #[must_use]
     pub fn choose_relays(&self, now: Instant) -> Vec<Arc<HelperHandle>> {
         let relays = self.relays.iter().cloned();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
         clock::millis,
         policy::relaying::{self, HostReply, RESPONSE_RESERVE},
         transport::fleet::{
-            RelayService, RelayedCall, RelayedRequest, RelayedResponse, SubqueryRejection,
+            PeerRejection, RelayService, RelayedCall, RelayedRequest, RelayedResponse,
         },
     },
     futures_util::future::BoxFuture,
@@ -108,17 +108,17 @@
             });
         };
         accepted.map_err(|rejection| match rejection {
-            SubqueryRejection::Unreachable(reason) => Failed {
+            PeerRejection::Unreachable(reason) => Failed {
                 outcome: RelayOutcome::Failed,
                 reply: HostReply::Declined,
                 reason,
             },
-            SubqueryRejection::Refused(reason) => Failed {
+            PeerRejection::Refused(reason) => Failed {
                 outcome: RelayOutcome::Rejected,
                 reply: HostReply::Declined,
                 reason,
             },
-            SubqueryRejection::Broken(reason) => Failed {
+            PeerRejection::Broken(reason) => Failed {
                 outcome: RelayOutcome::Failed,
                 reply: HostReply::Silent,
                 reason,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -208,7 +208,7 @@
             _ if !is_admitted => self.reject(Reason::Stopping),
             (_, Some(left)) => self.reject_held(&outgoing, left),
             _ if self.should_relay(false) => self.relay_or_reject(&outgoing).await,
-            (Destination::Split(parts), None) => self.relay(parts, outgoing).await,
+            (Destination::Split(parts), None) => self.send_to_leaf(parts, outgoing).await,
             (Destination::Shards(shards), None) => self.gather(shards, outgoing).await,
         };
         let took = self.started.elapsed();
@@ -260,7 +260,7 @@
     }
 
     /// Sends a request to one leaf and forwards its reply.
-    async fn relay(
+    async fn send_to_leaf(
         &self,
         parts: &[SplitService],
         outgoing: OutgoingRequest,
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -40,7 +40,7 @@
 mod subquery;
 
 pub use self::{
-    channel::{PeerChannel, RelayedCall, SubqueryRejection},
+    channel::{PeerChannel, PeerRejection, RelayedCall},
     entries::{EncodedEntries, WireEntries, unpack},
     limits::LimitService,
     registry_copy::{
--- a/src/transport/fleet/channel.rs
+++ b/src/transport/fleet/channel.rs
@@ -1,4 +1,5 @@
-//! The connection over which an entry host sends subqueries to a helper.
+//! The connection over which an entry host sends subqueries and relayed requests to another, and
+//! claims limits.
 
 use {
     super::{
@@ -38,15 +39,14 @@
     sender: Mutex<Option<SendRequest<Body>>>,
 }
 
-/// Why a helper did not accept a subquery.
+/// Why another host did not accept a subquery or a relayed request.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SubqueryRejection {
-    /// The helper can't be reached, so it queries no leaf.
+pub enum PeerRejection {
+    /// The host can't be reached, so it queries no leaf.
     Unreachable(String),
-    /// The helper rejected the subquery and queries no leaf.
+    /// The host rejected it and queries no leaf.
     Refused(String),
-    /// The connection failed after the subquery was sent; the helper may have queried
-    /// leaves.
+    /// The connection failed after it was sent; the host may have queried leaves.
     Broken(String),
 }
 
@@ -87,9 +87,9 @@
     pub async fn send_subquery(
         &self,
         subquery: impl FnOnce() -> Subquery,
-    ) -> Result<BoxStream<'static, Result<PartialResult, String>>, SubqueryRejection> {
+    ) -> Result<BoxStream<'static, Result<PartialResult, String>>, PeerRejection> {
         let client = self.open_client().await;
-        let mut client = client.map_err(SubqueryRejection::Unreachable)?;
+        let mut client = client.map_err(PeerRejection::Unreachable)?;
         let request = GatherRequest::from(subquery());
         match client.gather(request).await {
             Ok(response) => {
@@ -101,9 +101,9 @@
                 Ok(results.boxed())
             }
             Err(status) if status.code() == Code::FailedPrecondition => {
-                Err(SubqueryRejection::Refused(status.message().to_owned()))
+                Err(PeerRejection::Refused(status.message().to_owned()))
             }
-            Err(status) => Err(SubqueryRejection::Broken(status.message().to_owned())),
+            Err(status) => Err(PeerRejection::Broken(status.message().to_owned())),
         }
     }
 
@@ -117,15 +117,15 @@
     pub async fn send_request(
         &self,
         request: RelayedRequest,
-    ) -> Result<RelayedCall, SubqueryRejection> {
+    ) -> Result<RelayedCall, PeerRejection> {
         let client = self.open_client().await;
-        let mut client = client.map_err(SubqueryRejection::Unreachable)?;
+        let mut client = client.map_err(PeerRejection::Unreachable)?;
         match client.relay(RelayRequest::from(request)).await {
             Ok(response) => Ok(RelayedCall(response.into_inner())),
             Err(status) if status.code() == Code::FailedPrecondition => {
-                Err(SubqueryRejection::Refused(status.message().to_owned()))
+                Err(PeerRejection::Refused(status.message().to_owned()))
             }
-            Err(status) => Err(SubqueryRejection::Broken(status.message().to_owned())),
+            Err(status) => Err(PeerRejection::Broken(status.message().to_owned())),
         }
     }
 
