Ask several leaves for a connection in one place; forget a request in one place

Callers see no change. Cause: the review of the change found the same loop in crash_check and leaf_reach, the same removal twice in suspects, and a duration in Refusal::Held that nothing read. Change: transport::leaf::accepts_any, Suspects::forget, Refusal::Held without a value. Bounds, limits and assertions stay. Measured: format and clippy clean; suspects, leaf_contact and policy (40 tests), crashing_requests and cut_off_hosts (24 tests) pass, one run each.

--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -5,8 +5,7 @@
 
 use {
     super::view::{LeafHandle, View},
-    crate::transport::leaf::{Listener, check_listener},
-    futures_util::{StreamExt, stream::FuturesUnordered},
+    crate::transport::leaf::{Listener, accepts_any, check_listener},
     rand::seq::IteratorRandom,
     std::{sync::Arc, time::Duration},
 };
@@ -55,14 +54,6 @@
     let all = view.services.values().flat_map(|service| &service.leaves);
     let others = all.filter(|other| other.leaf.address != leaf.leaf.address);
     let witnesses = others.sample(&mut rand::rng(), MAX_WITNESSES);
-    let checks = witnesses
-        .iter()
-        .map(|it| check_listener(it.leaf.address, CHECK_TIMEOUT));
-    let mut checks: FuturesUnordered<_> = checks.collect();
-    while let Some(listener) = checks.next().await {
-        if listener == Listener::Accepts {
-            return true;
-        }
-    }
-    false
+    let addresses = witnesses.iter().map(|witness| witness.leaf.address);
+    accepts_any(addresses, CHECK_TIMEOUT).await
 }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -72,8 +72,8 @@
 pub enum Refusal {
     /// A suspect is in flight.
     Wait,
-    /// The request is held for this long.
-    Held(Duration),
+    /// The request is held.
+    Held,
 }
 
 /// One attempt at a leaf, as far as it shows whether the request crashes leaves.
@@ -113,7 +113,7 @@
                 service: service.clone(),
             })),
             Admission::Wait => Err(Refusal::Wait),
-            Admission::Held(left) => Err(Refusal::Held(left)),
+            Admission::Held(_) => Err(Refusal::Held),
         }
     }
 
--- a/src/gateway/hedged_request/suspension.rs
+++ b/src/gateway/hedged_request/suspension.rs
@@ -47,7 +47,7 @@
                 let suspended = ScheduledRetry::Suspended(reason);
                 service.retry = Some((now + SUSPENSION_TIME, suspended));
             }
-            Refusal::Held(_) => service.fail(Failure::not_run(Cause::Quarantined), None),
+            Refusal::Held => service.fail(Failure::not_run(Cause::Quarantined), None),
         }
     }
 
--- a/src/gateway/leaf_reach.rs
+++ b/src/gateway/leaf_reach.rs
@@ -8,9 +8,8 @@
     crate::{
         collections::{Map, Set},
         state::leaf_contact::{LeafContact, Reach},
-        transport::leaf::{Listener, check_listener},
+        transport::leaf::accepts_any,
     },
-    futures_util::{StreamExt, stream::FuturesUnordered},
     rand::seq::IteratorRandom,
     slog::{info, warn},
     std::{
@@ -139,11 +138,11 @@
         // Leaves that were silent for long are asked one at a time. Without a leaf to ask,
         // nothing is known.
         let is_reached = match reach {
-            Reach::CutOff => leaves.is_empty() || accepts_any(&first).await,
+            Reach::CutOff => leaves.is_empty() || accepts(&first).await,
             Reach::Reached => {
                 leaves.is_empty()
-                    || accepts_any(&first).await
-                    || accepts_any(&sample(leaves.iter(), MORE_LEAVES)).await
+                    || accepts(&first).await
+                    || accepts(&sample(leaves.iter(), MORE_LEAVES)).await
             }
         };
         if is_reached {
@@ -164,17 +163,8 @@
     leaves.copied().sample(&mut rand::rng(), count)
 }
 
-async fn accepts_any(leaves: &[SocketAddr]) -> bool {
-    let checks = leaves.iter();
-    let mut checks: FuturesUnordered<_> = checks
-        .map(|leaf| check_listener(*leaf, ACCEPT_TIMEOUT))
-        .collect();
-    while let Some(listener) = checks.next().await {
-        if listener == Listener::Accepts {
-            return true;
-        }
-    }
-    false
+async fn accepts(leaves: &[SocketAddr]) -> bool {
+    accepts_any(leaves.iter().copied(), ACCEPT_TIMEOUT).await
 }
 
 /// Checks until `stop` whether this host reaches leaves.
--- a/src/state/suspects.rs
+++ b/src/state/suspects.rs
@@ -261,11 +261,21 @@
 
     /// Clears the request, since a leaf has replied to it. Returns how many leaves had ended.
     pub fn clear(&mut self, fingerprint: Fingerprint) -> usize {
+        self.forget(fingerprint, true)
+    }
+
+    /// Forgets the request, and withdraws its reports if `withdraws`. Returns how many leaves had
+    /// ended.
+    fn forget(&mut self, fingerprint: Fingerprint, withdraws: bool) -> usize {
         let Some(suspect) = self.requests.remove(&fingerprint) else {
             return 0;
         };
-        self.withdraw_stored(&suspect);
         self.crash_count -= suspect.crashes.len();
+        if withdraws {
+            let stored = suspect.crashes.iter();
+            let stored = stored.filter(|known| known.report_due.is_none());
+            self.withdrawals.extend(stored.map(|known| known.crash.id));
+        }
         suspect.crashes.len()
     }
 
@@ -427,23 +437,11 @@
     fn drop_least(&mut self, kept: Fingerprint, withdraws: bool) {
         let others = self.requests.iter().filter(|(other, _)| **other != kept);
         let least = others.min_by_key(|(_, suspect)| (suspect.rounds(), suspect.learned_at));
-        let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else {
-            return;
-        };
-        if let Some(suspect) = self.requests.remove(&fingerprint) {
-            self.crash_count -= suspect.crashes.len();
-            if withdraws {
-                self.withdraw_stored(&suspect);
-            }
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.forget(fingerprint, withdraws);
         }
     }
 
-    fn withdraw_stored(&mut self, suspect: &Suspect) {
-        let stored = suspect.crashes.iter();
-        let stored = stored.filter(|known| known.report_due.is_none());
-        self.withdrawals.extend(stored.map(|known| known.crash.id));
-    }
-
     fn remove(&mut self, id: CrashId) {
         let Some(suspect) = self.requests.get_mut(&id.fingerprint) else {
             return;
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -16,6 +16,7 @@
         verdict::{Cause, Failure},
     },
     bytes::{Bytes, BytesMut},
+    futures_util::{StreamExt, stream::FuturesUnordered},
     http_body_util::{BodyExt, Full},
     hyper::{
         HeaderMap, Request, StatusCode,
@@ -119,6 +120,19 @@
     }
 }
 
+/// Opens a connection to each of `addresses` at the same time, and returns whether one accepts it
+/// within `limit`.
+pub async fn accepts_any(addresses: impl Iterator<Item = SocketAddr>, limit: Duration) -> bool {
+    let checks = addresses.map(|address| check_listener(address, limit));
+    let mut checks: FuturesUnordered<_> = checks.collect();
+    while let Some(listener) = checks.next().await {
+        if listener == Listener::Accepts {
+            return true;
+        }
+    }
+    false
+}
+
 /// The connections on which a request was sent.
 #[derive(Debug, Default)]
 pub struct UsedConnections {
