Organisations, quotas and rollouts: settings, routes and messages that the parts share

Hosts get three calls, which decline until the parts that serve them are there: RelayWithKey, ProveCurrent, TakeQuota.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,6 +30,7 @@
 pub mod limits;
 pub mod listener;
 pub mod metrics;
+pub mod organisations;
 pub mod registration;
 pub mod registry_sync;
 pub mod registry_view;
@@ -47,7 +48,7 @@
     leaf_reach::LeafReach,
     limits::LimitSharing,
     metrics::Metrics,
-    settings::{HostSettings, ReloadableSettings},
+    settings::{HostSettings, QuotaRule, ReloadableSettings, RolloutRule},
     view::{LeafHandle, View},
 };
 
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -5,6 +5,7 @@
         Gateway, HostSettings, crashes, leaf_reach,
         limits::{self, LimitServer},
         listener,
+        organisations::OrganisationServer,
         registration::{self, OwnEntry},
         registry_sync::RegistrySync,
         relay::RelayServer,
@@ -196,7 +197,16 @@
     let limits = LimitServer(Arc::clone(&gateway));
     let relays = RelayServer(Arc::clone(&gateway));
     let registry_copy = gateway.registry_copy.clone();
-    let served = fleet::serve(listener, registry_copy, subqueries, limits, relays, stop);
+    let organisations = OrganisationServer(Arc::clone(&gateway));
+    let served = fleet::serve(
+        listener,
+        registry_copy,
+        subqueries,
+        limits,
+        relays,
+        organisations,
+        stop,
+    );
     if let Err(error) = served.await {
         error!(gateway.log, "host: server for other entry hosts failed"; "error" => %error);
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,6 +5,28 @@
     std::{net::SocketAddr, time::Duration},
 };
 
+/// How closely the quotas of organisations are kept.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRule {
+    /// Span of time for which a quota binds.
+    pub window: Duration,
+    /// Share by which all hosts together may exceed a quota.
+    pub overage: f64,
+    /// Requests by which they may exceed it besides.
+    pub slack: f64,
+}
+
+/// Limits on what a version of a service may get while it is rolled out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutRule {
+    /// Most of a service's requests that a bad version may get, as a share.
+    pub exposure_ratio: f64,
+    /// Requests that it may get besides.
+    pub exposure_extra: f64,
+    /// Time from a bad version's 50th bad reply within which no host sends to it any more.
+    pub rollback_time: Duration,
+}
+
 /// Settings of one entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
@@ -36,6 +58,15 @@
     pub cores: usize,
     /// The host's share of a core, thousandths.
     pub millicores: u32,
+    /// Memory that the process may use, bytes; `None` when it is not limited.
+    pub memory: Option<usize>,
+    /// Time after which a withdrawn key is of no use at any host, also without the registry;
+    /// `None` where a host may rely on the last routes that it knows.
+    pub revocation_time: Option<Duration>,
+    /// How closely quotas are kept; `None` where no quota applies.
+    pub quota_rule: Option<QuotaRule>,
+    /// Limits of a rollout; `None` where services are not rolled out.
+    pub rollout_rule: Option<RolloutRule>,
 }
 
 /// Settings that can change while the host runs.
@@ -70,6 +101,10 @@
             == (&other.id, &other.domain, other.registry_address)
             && self.caller_address.ip() == other.caller_address.ip()
             && self.apply_timeout == other.apply_timeout
-            && (self.cores, self.millicores) == (other.cores, other.millicores)
+            && (self.cores, self.millicores, self.memory)
+                == (other.cores, other.millicores, other.memory)
+            && self.revocation_time == other.revocation_time
+            && self.quota_rule == other.quota_rule
+            && self.rollout_rule == other.rollout_rule
     }
 }
--- a/src/gateway/subquery.rs
+++ b/src/gateway/subquery.rs
@@ -248,6 +248,7 @@
         host: Box::default(),
         prefix: Box::default(),
         repeats: Repeats::Safe,
+        is_public: true,
         timeout: subquery.deadline,
         objective: subquery.objective,
         priority: subquery.priority,
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -23,7 +23,10 @@
     pub digest: HeaderName,
     /// Id of the only leaf that may run the request.
     pub expected_leaf: HeaderName,
-    /// A leaf's running requests, its queued requests and its slots, separated by commas.
+    /// Name of the organisation whose caller sent a request; only hosts set it.
+    pub organisation: HeaderName,
+    /// A leaf's running requests, its queued requests, its slots and, of some, the time that work
+    /// takes there now as a percentage of the usual, separated by commas.
     pub load: HeaderName,
     /// Requests per second that a leaf takes from all hosts together, a decimal number.
     pub rate_limit: HeaderName,
@@ -42,6 +45,9 @@
     pub running: u32,
     /// Requests queued for a slot.
     pub waiting: u32,
+    /// Time that work takes on the leaf's machine now, as a percentage of the usual; `None` when
+    /// it isn't stated.
+    pub pace: Option<u32>,
 }
 
 impl Dialect {
@@ -59,9 +65,13 @@
     pub fn load(&self, headers: &HeaderMap) -> Option<Load> {
         let text = headers.get(&self.load)?.to_str().ok()?;
         let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+        let (running, waiting) = (numbers.next()??, numbers.next()??);
+        // The slots stand between; the registry states them as well.
+        let pace = numbers.nth(1).flatten().filter(|pace| *pace > 0);
         Some(Load {
-            running: numbers.next()??,
-            waiting: numbers.next()??,
+            running,
+            waiting,
+            pace,
         })
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,7 @@
 pub mod leaf_contact;
 pub mod leaf_limit;
 pub mod leaves;
+pub mod organisations;
 pub mod quarantine;
 pub mod ramp;
 pub mod rate_allocator;
--- /dev/null
+++ b/src/state/organisations.rs
@@ -0,0 +1,91 @@
+//! Organisations of callers: the keys that identify them, their priority and their quota.
+
+use {
+    crate::{
+        collections::{Map, Name},
+        protocol::fingerprint::Fingerprint,
+    },
+    std::sync::Arc,
+};
+
+/// An organisation of callers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Organisation {
+    /// Name, unique in the table.
+    pub name: Name,
+    /// Priority of its requests, 0 being the most urgent; `None` for that of their routes.
+    pub priority: Option<u32>,
+    /// Limit on its requests; `None` without one.
+    pub quota: Option<Quota>,
+}
+
+/// Limit on the requests of an organisation, over all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests beyond the rate that may come at once.
+    pub burst: f64,
+}
+
+/// Digest of a key. The key itself is not kept, so that no log and no message can show it,
+/// and a comparison of digests tells nothing about a key by its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyDigest(Fingerprint);
+
+/// All organisations of one version of the routes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Organisations {
+    by_key: Map<KeyDigest, Arc<Organisation>>,
+    by_name: Map<Name, Arc<Organisation>>,
+}
+
+impl KeyDigest {
+    /// Returns the digest of `key`.
+    #[must_use]
+    pub fn of(key: &[u8]) -> Self {
+        Self(Fingerprint::of_parts(&[key]))
+    }
+}
+
+impl Organisations {
+    /// Adds an organisation with the digests of its keys. Returns false, and changes nothing,
+    /// if the name or a key is in the table already.
+    #[must_use]
+    pub fn add(&mut self, organisation: Organisation, keys: &[KeyDigest]) -> bool {
+        let is_taken = self.by_name.contains_key(&organisation.name)
+            || keys.iter().any(|key| self.by_key.contains_key(key));
+        if is_taken {
+            return false;
+        }
+        let organisation = Arc::new(organisation);
+        for key in keys {
+            self.by_key.insert(*key, Arc::clone(&organisation));
+        }
+        self.by_name.insert(organisation.name.clone(), organisation);
+        true
+    }
+
+    /// Returns whether there are no organisations: then requests need no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// Returns the organisation that holds `key`.
+    #[must_use]
+    pub fn find(&self, key: &[u8]) -> Option<&Arc<Organisation>> {
+        self.by_key.get(&KeyDigest::of(key))
+    }
+
+    /// Returns the organisation with this name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Arc<Organisation>> {
+        self.by_name.get(name)
+    }
+
+    /// Returns all organisations, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.by_name.values()
+    }
+}
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -1,6 +1,7 @@
 //! Route table: the services that may run a request, and the limits that apply.
 
 use {
+    super::organisations::Organisations,
     crate::collections::{Map, Name},
     std::{sync::Arc, time::Duration},
 };
@@ -12,6 +13,8 @@
     pub version: u64,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
+    /// Organisations whose callers identify themselves with keys.
+    pub organisations: Organisations,
     hosts: Map<Box<str>, Vec<Arc<Route>>>,
     services: Map<Name, ServiceRules>,
 }
@@ -50,6 +53,8 @@
     pub prefix: Box<str>,
     /// Whether a request may run more than once.
     pub repeats: Repeats,
+    /// Whether its requests need no key although there are organisations.
+    pub is_public: bool,
     /// Longest time from a request to its response.
     pub timeout: Duration,
     /// Latency objective: time within which a response is worth most to the caller.
@@ -157,11 +162,19 @@
         Self {
             version,
             limits,
+            organisations: Organisations::default(),
             hosts,
             services,
         }
     }
 
+    /// Sets the organisations.
+    #[must_use]
+    pub fn with_organisations(mut self, organisations: Organisations) -> Self {
+        self.organisations = organisations;
+        self
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`. The case of `host`
     /// and a port after it are ignored.
     #[must_use]
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -8,7 +8,8 @@
         clock::{Millis, millis},
         protocol::generated::{
             ChangedEntry, FollowRequest, GatherRequest, GatheredParts, LimitsReply, LimitsRequest,
-            RelayReply, RelayRequest, SnapshotReply, SnapshotRequest, Update as WireUpdate,
+            ProofReply, ProofRequest, QuotaReply, QuotaRequest, RelayReply, RelayRequest,
+            SnapshotReply, SnapshotRequest, Update as WireUpdate,
             fleet_client::FleetClient,
             fleet_server::{Fleet, FleetServer},
         },
@@ -35,6 +36,7 @@
 mod channel;
 mod entries;
 mod limits;
+mod organisations;
 mod registry_copy;
 mod relay;
 mod subquery;
@@ -43,6 +45,7 @@
     channel::{PeerChannel, PeerRejection, RelayedCall},
     entries::{EncodedEntries, WireEntries, unpack},
     limits::LimitService,
+    organisations::{CopyProof, OrganisationService, QuotaClaim, QuotaGrant},
     registry_copy::{
         ChangeBatch, FollowerGuard, MissingChanges, RegistryCopy, RegistryState, SyncStatus,
     },
@@ -120,19 +123,24 @@
 }
 
 /// Server side of the service: this host's registry copy, what runs subqueries, what allocates
-/// the rate limits of leaves, and what handles requests for other hosts.
-struct FleetService<P, L, R> {
+/// the rate limits of leaves, what handles requests for other hosts, and what answers about
+/// organisations.
+struct FleetService<P, L, R, O> {
     registry_copy: RegistryCopy,
     subqueries: P,
     limits: L,
     relays: R,
+    organisations: O,
 }
 
 #[tonic::async_trait]
-impl<P: SubqueryService, L: LimitService, R: RelayService> Fleet for FleetService<P, L, R> {
+impl<P: SubqueryService, L: LimitService, R: RelayService, O: OrganisationService> Fleet
+    for FleetService<P, L, R, O>
+{
     type FollowStream = BoxStream<'static, Result<WireUpdate, Status>>;
     type GatherStream = BoxStream<'static, Result<GatheredParts, Status>>;
     type RelayStream = BoxStream<'static, Result<RelayReply, Status>>;
+    type RelayWithKeyStream = BoxStream<'static, Result<RelayReply, Status>>;
 
     async fn snapshot(
         &self,
@@ -213,6 +221,34 @@
         Ok(Response::new(replies.boxed()))
     }
 
+    async fn relay_with_key(
+        &self,
+        request: Request<RelayRequest>,
+    ) -> Result<Response<Self::RelayWithKeyStream>, Status> {
+        let request = RelayedRequest::try_from(request.into_inner())?;
+        let response = self.organisations.handle_with_key(request);
+        let response = response.map_err(Status::failed_precondition)?;
+        let replies = stream::once(response).map(|response| Ok(RelayReply::from(response)));
+        Ok(Response::new(replies.boxed()))
+    }
+
+    async fn prove_current(
+        &self,
+        _request: Request<ProofRequest>,
+    ) -> Result<Response<ProofReply>, Status> {
+        let proof = self.organisations.prove_current();
+        Ok(Response::new(organisations::encode_proof(proof)))
+    }
+
+    async fn take_quota(
+        &self,
+        request: Request<QuotaRequest>,
+    ) -> Result<Response<QuotaReply>, Status> {
+        let (host, claims) = organisations::decode_claims(request.into_inner());
+        let grants = self.organisations.take_quota(&host, claims);
+        Ok(Response::new(organisations::encode_grants(&grants)))
+    }
+
     async fn share_limits(
         &self,
         request: Request<LimitsRequest>,
@@ -291,7 +327,8 @@
 }
 
 /// Serves the registry copy to other hosts, runs subqueries for them, allocates the rate limits
-/// of leaves and handles requests for hosts that can't reach leaves, until `stop`.
+/// of leaves, handles requests for hosts that can't reach leaves and answers about organisations,
+/// until `stop`.
 ///
 /// # Errors
 ///
@@ -302,6 +339,7 @@
     subqueries: impl SubqueryService,
     limits: impl LimitService,
     relays: impl RelayService,
+    organisations: impl OrganisationService,
     stop: CancellationToken,
 ) -> Result<(), tonic::transport::Error> {
     let service = FleetServer::new(FleetService {
@@ -309,6 +347,7 @@
         subqueries,
         limits,
         relays,
+        organisations,
     });
     let service = service
         .max_encoding_message_size(MAX_MESSAGE_BYTES)
--- a/src/transport/fleet/channel.rs
+++ b/src/transport/fleet/channel.rs
@@ -4,12 +4,15 @@
 use {
     super::{
         MAX_MESSAGE_BYTES, REPLY_TIMEOUT, limits,
+        organisations::{self, CopyProof, QuotaClaim, QuotaGrant},
         relay::{RelayedRequest, RelayedResponse},
         subquery::{PartialResult, Subquery},
     },
     crate::{
         collections::Name,
-        protocol::generated::{GatherRequest, RelayReply, RelayRequest, fleet_client::FleetClient},
+        protocol::generated::{
+            GatherRequest, ProofRequest, RelayReply, RelayRequest, fleet_client::FleetClient,
+        },
         state::{leaf_limit::Share, rate_allocator::Claim},
         transport::leaf::enable_keepalive,
     },
@@ -129,6 +132,66 @@
         }
     }
 
+    /// Sends a request of a caller, whose key the host checks, like
+    /// [`send_request`](Self::send_request). A host that doesn't know of keys rejects it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not accept the request; the error shows whether leaves may have
+    /// got it.
+    pub async fn send_with_key(
+        &self,
+        request: RelayedRequest,
+    ) -> Result<RelayedCall, PeerRejection> {
+        let client = self.open_client().await;
+        let mut client = client.map_err(PeerRejection::Unreachable)?;
+        match client.relay_with_key(RelayRequest::from(request)).await {
+            Ok(response) => Ok(RelayedCall(response.into_inner())),
+            Err(status)
+                if matches!(
+                    status.code(),
+                    Code::FailedPrecondition | Code::Unimplemented
+                ) =>
+            {
+                Err(PeerRejection::Refused(status.message().to_owned()))
+            }
+            Err(status) => Err(PeerRejection::Broken(status.message().to_owned())),
+        }
+    }
+
+    /// Returns how current the host's copy of the registry is proven to be; `None` without a
+    /// proof.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not reply.
+    pub async fn prove_current(&self) -> Result<Option<CopyProof>, String> {
+        let mut client = self.open_client().await?;
+        match client.prove_current(ProofRequest {}).await {
+            Ok(response) => Ok(organisations::decode_proof(response.into_inner())),
+            Err(status) => Err(status.message().to_owned()),
+        }
+    }
+
+    /// Claims requests of the quotas of organisations for the host `host`, and returns a grant
+    /// for each claim; none when the host is not their allocator.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not reply.
+    pub async fn take_quota(
+        &self,
+        host: &Name,
+        claims: &[QuotaClaim],
+    ) -> Result<Vec<QuotaGrant>, String> {
+        let mut client = self.open_client().await?;
+        let request = organisations::encode_claims(host, claims);
+        match client.take_quota(request).await {
+            Ok(response) => Ok(organisations::decode_grants(response.into_inner())),
+            Err(status) => Err(status.message().to_owned()),
+        }
+    }
+
     /// Claims shares of the rate limits of leaves for the host `host`, and returns a share
     /// for each claim.
     ///
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -16,9 +16,10 @@
         },
         transport::{
             fleet::{
-                self, ChangeBatch, EncodedEntries, LimitService, MissingChanges, PartialResult,
-                RegistryCopy, RegistryState, RelayService, RelayedRequest, RelayedResponse,
-                Subquery, SubqueryService, SyncStatus, WireEntries, unpack,
+                self, ChangeBatch, CopyProof, EncodedEntries, LimitService, MissingChanges,
+                OrganisationService, PartialResult, QuotaClaim, QuotaGrant, RegistryCopy,
+                RegistryState, RelayService, RelayedRequest, RelayedResponse, Subquery,
+                SubqueryService, SyncStatus, WireEntries, unpack,
             },
             registry::Entry,
         },
@@ -324,6 +325,23 @@
 /// A host that accepts no subqueries.
 struct Idle;
 
+impl OrganisationService for Idle {
+    fn take_quota(&self, _host: &Name, _claims: Vec<QuotaClaim>) -> Vec<QuotaGrant> {
+        Vec::new()
+    }
+
+    fn prove_current(&self) -> Option<CopyProof> {
+        None
+    }
+
+    fn handle_with_key(
+        &self,
+        _request: RelayedRequest,
+    ) -> Result<BoxFuture<'static, RelayedResponse>, &'static str> {
+        Err("not here")
+    }
+}
+
 impl LimitService for Idle {
     fn share_limits(&self, _: &Name, _: Vec<Claim>) -> Vec<Share> {
         Vec::new()
@@ -413,6 +431,7 @@
         Idle,
         Idle,
         Idle,
+        Idle,
         stop.clone(),
     ));
 
--- a/tests/testsuite/merge.rs
+++ b/tests/testsuite/merge.rs
@@ -88,6 +88,7 @@
         name: prefix.into(),
         host: "desk.example".into(),
         prefix: prefix.into(),
+        is_public: false,
         repeats: Repeats::Safe,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
