Place requests to single leaves from one host

Each of 61 hosts sees a request every few seconds and finds the slow leaf by itself, one late request each; organisations that send much stand before the others in the leaves' queues. Change: where the configuration names organisations, a host asks the placer of the service for a leaf before it sends the request itself. The placer counts what is at each leaf, takes the age of what is overdue for the leaf's time, lets organisations take turns by priority and by how much they were served, and refuses at once what can't be answered before its deadline. Without a sign in 30 ms a host chooses the leaf itself, as before. Not measured on the deployment yet: the organisation comes with the keys.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,6 +31,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod organisations;
+pub mod placement;
 pub mod registration;
 pub mod registry_sync;
 pub mod registry_view;
@@ -48,6 +49,7 @@
     leaf_reach::LeafReach,
     limits::LimitSharing,
     metrics::Metrics,
+    placement::PlacementState,
     settings::{HostSettings, QuotaRule, ReloadableSettings, RolloutRule},
     view::{LeafHandle, View},
 };
@@ -99,6 +101,8 @@
     pub limits: LimitSharing,
     /// Requests under which leaves ended.
     pub crashes: CrashRecords,
+    /// Places at leaves that this host gives out, and hosts that gave none.
+    pub placement: PlacementState,
     /// Whether this host reaches leaves.
     pub leaf_reach: LeafReach,
     /// What the last renewal of this host's lease has shown about the registry.
@@ -139,6 +143,7 @@
             reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
             crashes: CrashRecords::default(),
+            placement: PlacementState::default(),
             leaf_reach: LeafReach::default(),
             registry_contact: watch::Sender::default(),
             view: ArcSwap::default(),
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -62,6 +62,8 @@
     /// Time before which no service gets a second attempt while an earlier one may have run
     /// the request: no hedge, and no retry that counts against the retry budget.
     hold_until: Instant,
+    /// Id of the leaf that gets the first attempt; `None` when this host chooses it.
+    placed_leaf: Option<Name>,
     /// Number of replies after which their latency sets the hedge delay of the other
     /// services; `None` when there are too few services.
     sibling_replies: Option<usize>,
@@ -134,6 +136,7 @@
             started,
             is_repeat: false,
             hold_until: started,
+            placed_leaf: None,
             sibling_replies: hedge::sample_size(services.len()),
             replied: 0,
             rejections: 0,
@@ -160,6 +163,13 @@
         self
     }
 
+    /// Sets the leaf that gets the first attempt.
+    #[must_use]
+    pub fn with_leaf(mut self, leaf: Option<Name>) -> Self {
+        self.placed_leaf = leaf;
+        self
+    }
+
     /// Returns how many of the services have a usable leaf.
     #[must_use]
     pub fn reachable_count(&self) -> usize {
--- a/src/gateway/hedged_request/attempts.rs
+++ b/src/gateway/hedged_request/attempts.rs
@@ -113,6 +113,12 @@
         self.tried.last().map(|leaf| &*leaf.leaf.id)
     }
 
+    /// Returns the number of leaves with an attempt.
+    #[must_use]
+    pub fn tried_count(&self) -> usize {
+        self.tried.len()
+    }
+
     /// Returns the time since the first attempt started; zero before it.
     #[must_use]
     pub fn age(&self, now: Instant) -> Duration {
--- a/src/gateway/hedged_request/leaf_choice.rs
+++ b/src/gateway/hedged_request/leaf_choice.rs
@@ -38,6 +38,11 @@
         }
         let rate = self.view.cold_rate(service.name());
         leaves.retain(|leaf| leaf.is_allowed(rate, now));
+        if service.first_start.is_none()
+            && let Some(leaf) = self.take_placed(&leaves, now)
+        {
+            return Ok(Arc::clone(leaf));
+        }
         let near = &self.gateway.settings.domain;
         let mut candidates: Vec<leaf_selection::Candidate> = leaves
             .iter()
@@ -59,4 +64,17 @@
         }
         Err(cause)
     }
+
+    /// Returns the leaf at which the request has a place, if it is one of `leaves` and its rate
+    /// limit has room.
+    fn take_placed<'a>(
+        &self,
+        leaves: &[&'a Arc<LeafHandle>],
+        now: Instant,
+    ) -> Option<&'a Arc<LeafHandle>> {
+        let placed = self.placed_leaf.as_ref()?;
+        let leaf = leaves.iter().find(|leaf| leaf.leaf.id == *placed)?;
+        let check = leaf.take_from_limit(now);
+        matches!(check, LimitCheck::Unlimited | LimitCheck::WithinShare).then_some(*leaf)
+    }
 }
--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -7,6 +7,7 @@
         policy::{
             delegation::{self, Helper},
             helper_failure,
+            placement::Host,
         },
         state::{fleet_budget::BudgetShare, roster::Member},
         transport::fleet::PeerChannel,
@@ -135,6 +136,14 @@
         self.domains.values().flatten().map(|helper| &helper.id)
     }
 
+    /// Returns the hosts as [`policy::placement`](crate::policy::placement) compares them.
+    pub fn placers(&self) -> impl Iterator<Item = Host<'_>> + Clone {
+        self.domains.values().flatten().map(|helper| Host {
+            id: &helper.id,
+            millicores: helper.millicores,
+        })
+    }
+
     /// Returns the host with the name `id`.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<HelperHandle>> {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -6,6 +6,7 @@
         limits::{self, LimitServer},
         listener,
         organisations::OrganisationServer,
+        placement::PlacementServer,
         registration::{self, OwnEntry},
         registry_sync::RegistrySync,
         relay::RelayServer,
@@ -14,7 +15,11 @@
     crate::{
         clock::millis,
         protocol::dialect::Dialect,
-        transport::{connection::End, fleet, registry::Registry},
+        transport::{
+            connection::End,
+            fleet::{self, FleetService},
+            registry::Registry,
+        },
     },
     eyre::{Result, WrapErr},
     slog::{Logger, error, info},
@@ -193,20 +198,15 @@
 
 /// Serves other entry hosts until `stop`.
 async fn serve_peers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
-    let subqueries = SubqueryServer(Arc::clone(&gateway));
-    let limits = LimitServer(Arc::clone(&gateway));
-    let relays = RelayServer(Arc::clone(&gateway));
-    let registry_copy = gateway.registry_copy.clone();
-    let organisations = OrganisationServer(Arc::clone(&gateway));
-    let served = fleet::serve(
-        listener,
-        registry_copy,
-        subqueries,
-        limits,
-        relays,
-        organisations,
-        stop,
-    );
+    let service = FleetService {
+        registry_copy: gateway.registry_copy.clone(),
+        subqueries: SubqueryServer(Arc::clone(&gateway)),
+        limits: LimitServer(Arc::clone(&gateway)),
+        relays: RelayServer(Arc::clone(&gateway)),
+        organisations: OrganisationServer(Arc::clone(&gateway)),
+        placements: PlacementServer(Arc::clone(&gateway)),
+    };
+    let served = fleet::serve(listener, service, stop);
     if let Err(error) = served.await {
         error!(gateway.log, "host: server for other entry hosts failed"; "error" => %error);
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -35,6 +35,7 @@
     broken_connections: IntCounterVec,
     subqueries: IntCounterVec,
     relays: IntCounterVec,
+    placements: IntCounterVec,
     registry_calls: IntCounterVec,
     /// Failures of the registry sync.
     pub failed_syncs: IntCounter,
@@ -159,6 +160,29 @@
     }
 }
 
+/// What became of a request that needs a place at a leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementResult {
+    /// It got one.
+    Placed,
+    /// It can't be answered in time.
+    Refused,
+    /// This host chose the leaf without the placer.
+    Without,
+}
+
+impl PlacementResult {
+    /// Returns the name that metrics use.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Placed => "placed",
+            Self::Refused => "refused",
+            Self::Without => "without",
+        }
+    }
+}
+
 impl Metrics {
     /// Returns metrics in a new Prometheus registry.
     ///
@@ -226,6 +250,11 @@
                 "Requests handed to other hosts, since this one reaches no leaf, by outcome",
                 &["outcome"],
             )?,
+            placements: counters(
+                "placements_total",
+                "Requests that need a place at a leaf, by result",
+                &["result"],
+            )?,
             registry_calls: counters(
                 "registry_calls_total",
                 "Calls to the registry by result",
@@ -275,6 +304,11 @@
         broken.with_label_values(&[check.name()]).inc();
     }
 
+    /// Counts a request that needs a place at a leaf.
+    pub fn record_placement(&self, result: PlacementResult) {
+        self.placements.with_label_values(&[result.name()]).inc();
+    }
+
     /// Records what became of a request that was handed to another host.
     pub fn record_relay(&self, outcome: RelayOutcome) {
         self.relays.with_label_values(&[outcome.name()]).inc();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -6,6 +6,7 @@
         attempt::{OutgoingRequest, RequestProgress},
         gather::ScatterGather,
         hedged_request::{HedgedRequest, attempts::State},
+        placement::Placed,
         relay::Relayed,
         response::{self, FullResponse},
         view::{View, lock},
@@ -270,6 +271,15 @@
             return self.reject(Reason::RateLimited(wait));
         }
         let deadline = outgoing.deadline;
+        let place = match services.first() {
+            Some(service) => self.place(service, &outgoing).await,
+            None => Placed::ByItself,
+        };
+        let place = match place {
+            Placed::ByItself => None,
+            Placed::At(place) => Some(place),
+            Placed::Refused(wait) => return self.reject(Reason::Crowded(wait)),
+        };
         let outgoing = Arc::new(outgoing);
         let mut hedged = HedgedRequest::new(
             Arc::clone(self.gateway),
@@ -278,7 +288,8 @@
             &services,
             Arc::clone(&outgoing),
             self.started,
-        );
+        )
+        .with_leaf(place.as_ref().map(|place| place.leaf.clone()));
         if hedged.reachable_count() == 0 {
             return self.reject(Reason::NoLeaf);
         }
@@ -294,6 +305,9 @@
         let Some(service) = hedged.services.pop() else {
             return self.reject(Reason::NoLeaf);
         };
+        if let Some(place) = place {
+            place.finish(&service);
+        }
         let log = ResponseLog {
             leaf: service.last_leaf().map(Name::from),
             ..ResponseLog::default()
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -360,6 +360,35 @@
         (before, stats.stated_limit.rate)
     }
 
+    /// Records a reply to another host that took `took`, with the baseline latency of the
+    /// request's replies and the load that the leaf reported.
+    pub fn record_reply_elsewhere(
+        &self,
+        took: Duration,
+        baseline: Duration,
+        load: Option<Load>,
+        now: Instant,
+    ) {
+        let mut stats = lock(&self.stats);
+        stats.latency.record_latency(took, baseline, now);
+        stats.rejections.record_outcome(false, now);
+        if let Some(load) = load {
+            stats.load = Some((load, now));
+        }
+    }
+
+    /// Records that the leaf rejected a request of another host as full.
+    pub fn record_rejection_elsewhere(&self, now: Instant) {
+        let mut stats = lock(&self.stats);
+        stats.full_at = Some(now);
+        stats.rejections.record_outcome(true, now);
+    }
+
+    /// Records that a request of another host failed at the leaf.
+    pub fn record_failure_elsewhere(&self, now: Instant) {
+        lock(&self.stats).latency.record_failure(now);
+    }
+
     /// Returns how many attempts may still reach the leaf, though they have ended: it has
     /// not shown since that it runs.
     #[must_use]
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -20,6 +20,8 @@
     Overloaded,
     /// The rate limits of the leaves are used up for this long.
     RateLimited(Duration),
+    /// More requests wait for the leaves than they can answer in time; that lasts this long.
+    Crowded(Duration),
     /// No leaf could be reached.
     Unreachable,
     /// Leaves have ended under the request, and none gets it for this long.
@@ -54,7 +56,7 @@
         Reason::NoLeaf | Reason::TooFewShards => RESTART_TIME,
         Reason::Full => baseline.map_or(DEFAULT_DELAY, |baseline| baseline * DRAIN_FACTOR),
         Reason::Overloaded => OVERLOAD_TIME,
-        Reason::RateLimited(wait) | Reason::Quarantined(wait) => wait,
+        Reason::RateLimited(wait) | Reason::Quarantined(wait) | Reason::Crowded(wait) => wait,
         Reason::Unreachable => RESTART_TIME / 2,
         // Other hosts serve at present.
         Reason::Stopping => Duration::ZERO,
@@ -72,6 +74,7 @@
             Self::Full => "full",
             Self::Overloaded => "overloaded",
             Self::RateLimited(_) => "rate_limited",
+            Self::Crowded(_) => "crowded",
             Self::Unreachable => "unreachable",
             Self::Quarantined(_) => "quarantined",
             Self::Stopping => "stopping",
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,7 @@
 pub mod leaf_limit;
 pub mod leaves;
 pub mod organisations;
+pub mod placements;
 pub mod quarantine;
 pub mod ramp;
 pub mod rate_allocator;
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -8,6 +8,7 @@
         clock::{Millis, millis},
         protocol::generated::{
             ChangedEntry, FollowRequest, GatherRequest, GatheredParts, LimitsReply, LimitsRequest,
+            PlacementEnd as WirePlacementEnd, PlacementEnded, PlacementReply, PlacementRequest,
             ProofReply, ProofRequest, QuotaReply, QuotaRequest, RelayReply, RelayRequest,
             SnapshotReply, SnapshotRequest, Update as WireUpdate,
             fleet_client::FleetClient,
@@ -37,15 +38,17 @@
 mod entries;
 mod limits;
 mod organisations;
+mod placement;
 mod registry_copy;
 mod relay;
 mod subquery;
 
 pub use self::{
-    channel::{PeerChannel, PeerRejection, RelayedCall},
+    channel::{PeerChannel, PeerRejection, PendingPlacement, RelayedCall},
     entries::{EncodedEntries, WireEntries, unpack},
     limits::LimitService,
     organisations::{CopyProof, OrganisationService, QuotaClaim, QuotaGrant},
+    placement::{PlacementCall, PlacementEnd, PlacementOutcome, PlacementService},
     registry_copy::{
         ChangeBatch, FollowerGuard, MissingChanges, RegistryCopy, RegistryState, SyncStatus,
     },
@@ -122,24 +125,35 @@
     }
 }
 
-/// Server side of the service: this host's registry copy, what runs subqueries, what allocates
-/// the rate limits of leaves, what handles requests for other hosts, and what answers about
-/// organisations.
-struct FleetService<P, L, R, O> {
-    registry_copy: RegistryCopy,
-    subqueries: P,
-    limits: L,
-    relays: R,
-    organisations: O,
+/// What serves the calls of other hosts.
+pub struct FleetService<P, L, R, O, Q> {
+    /// This host's registry copy.
+    pub registry_copy: RegistryCopy,
+    /// Runs subqueries.
+    pub subqueries: P,
+    /// Allocates the rate limits of leaves.
+    pub limits: L,
+    /// Handles requests for hosts that can't reach leaves.
+    pub relays: R,
+    /// Answers about organisations.
+    pub organisations: O,
+    /// Gives out places at leaves.
+    pub placements: Q,
 }
 
 #[tonic::async_trait]
-impl<P: SubqueryService, L: LimitService, R: RelayService, O: OrganisationService> Fleet
-    for FleetService<P, L, R, O>
+impl<P, L, R, O, Q> Fleet for FleetService<P, L, R, O, Q>
+where
+    P: SubqueryService,
+    L: LimitService,
+    R: RelayService,
+    O: OrganisationService,
+    Q: PlacementService,
 {
     type FollowStream = BoxStream<'static, Result<WireUpdate, Status>>;
     type GatherStream = BoxStream<'static, Result<GatheredParts, Status>>;
     type RelayStream = BoxStream<'static, Result<RelayReply, Status>>;
+    type PlaceStream = BoxStream<'static, Result<PlacementReply, Status>>;
     type RelayWithKeyStream = BoxStream<'static, Result<RelayReply, Status>>;
 
     async fn snapshot(
@@ -249,6 +263,24 @@
         Ok(Response::new(organisations::encode_grants(&grants)))
     }
 
+    async fn place(
+        &self,
+        request: Request<PlacementRequest>,
+    ) -> Result<Response<Self::PlaceStream>, Status> {
+        let decision = self.placements.place(request.into_inner().into());
+        let decision = decision.map_err(Status::failed_precondition)?;
+        let replies = stream::once(decision).map(|decision| Ok(PlacementReply::from(decision)));
+        Ok(Response::new(replies.boxed()))
+    }
+
+    async fn end_placement(
+        &self,
+        request: Request<WirePlacementEnd>,
+    ) -> Result<Response<PlacementEnded>, Status> {
+        self.placements.end_place(request.into_inner().into());
+        Ok(Response::new(PlacementEnded {}))
+    }
+
     async fn share_limits(
         &self,
         request: Request<LimitsRequest>,
@@ -326,29 +358,24 @@
     Ok(entries.collect())
 }
 
-/// Serves the registry copy to other hosts, runs subqueries for them, allocates the rate limits
-/// of leaves, handles requests for hosts that can't reach leaves and answers about organisations,
-/// until `stop`.
+/// Serves the calls of other hosts until `stop`.
 ///
 /// # Errors
 ///
 /// Fails when the server ends before `stop`.
-pub async fn serve(
+pub async fn serve<P, L, R, O, Q>(
     listener: TcpListener,
-    registry_copy: RegistryCopy,
-    subqueries: impl SubqueryService,
-    limits: impl LimitService,
-    relays: impl RelayService,
-    organisations: impl OrganisationService,
+    service: FleetService<P, L, R, O, Q>,
     stop: CancellationToken,
-) -> Result<(), tonic::transport::Error> {
-    let service = FleetServer::new(FleetService {
-        registry_copy,
-        subqueries,
-        limits,
-        relays,
-        organisations,
-    });
+) -> Result<(), tonic::transport::Error>
+where
+    P: SubqueryService,
+    L: LimitService,
+    R: RelayService,
+    O: OrganisationService,
+    Q: PlacementService,
+{
+    let service = FleetServer::new(service);
     let service = service
         .max_encoding_message_size(MAX_MESSAGE_BYTES)
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
--- a/src/transport/fleet/channel.rs
+++ b/src/transport/fleet/channel.rs
@@ -5,15 +5,17 @@
     super::{
         MAX_MESSAGE_BYTES, REPLY_TIMEOUT, limits,
         organisations::{self, CopyProof, QuotaClaim, QuotaGrant},
+        placement::{PlacementCall, PlacementEnd},
         relay::{RelayedRequest, RelayedResponse},
         subquery::{PartialResult, Subquery},
     },
     crate::{
         collections::Name,
         protocol::generated::{
-            GatherRequest, ProofRequest, RelayReply, RelayRequest, fleet_client::FleetClient,
+            GatherRequest, PlacementEnd as WirePlacementEnd, PlacementReply, PlacementRequest,
+            ProofRequest, RelayReply, RelayRequest, fleet_client::FleetClient,
         },
-        state::{leaf_limit::Share, rate_allocator::Claim},
+        state::{leaf_limit::Share, placements::Decision, rate_allocator::Claim},
         transport::leaf::enable_keepalive,
     },
     futures_util::{StreamExt, stream::BoxStream},
@@ -70,6 +72,24 @@
     }
 }
 
+/// A decision to come about a request that needs a place.
+pub struct PendingPlacement(Streaming<PlacementReply>);
+
+impl PendingPlacement {
+    /// Returns the decision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host is lost.
+    pub async fn decision(mut self) -> Result<Decision, String> {
+        let reply = self.0.message().await;
+        let reply = reply.map_err(|status| status.message().to_owned())?;
+        reply
+            .map(Decision::from)
+            .ok_or_else(|| "ended early".to_owned())
+    }
+}
+
 impl PeerChannel {
     /// Returns a link to the host at `address`, without connecting.
     #[must_use]
@@ -192,6 +212,33 @@
         }
     }
 
+    /// Asks the host for a place. Once it has accepted, returns its decision to come. Dropping
+    /// that takes the request out of its queue.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host gives no places for the service, or is lost.
+    pub async fn place(&self, call: &PlacementCall) -> Result<PendingPlacement, String> {
+        let mut client = self.open_client().await?;
+        match client.place(PlacementRequest::from(call)).await {
+            Ok(response) => Ok(PendingPlacement(response.into_inner())),
+            Err(status) => Err(status.message().to_owned()),
+        }
+    }
+
+    /// Ends a place.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not reply.
+    pub async fn end_place(&self, end: &PlacementEnd) -> Result<(), String> {
+        let mut client = self.open_client().await?;
+        let ended = client.end_placement(WirePlacementEnd::from(end)).await;
+        ended
+            .map(drop)
+            .map_err(|status| status.message().to_owned())
+    }
+
     /// Claims shares of the rate limits of leaves for the host `host`, and returns a share
     /// for each claim.
     ///
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -10,16 +10,18 @@
         },
         state::{
             leaf_limit::Share,
+            placements::Decision,
             rate_allocator::Claim,
             revision::Revision,
             roster::{Leaf, Member, Phase, Roster, RosterChange, SUSPECT_PERIOD},
         },
         transport::{
             fleet::{
-                self, ChangeBatch, CopyProof, EncodedEntries, LimitService, MissingChanges,
-                OrganisationService, PartialResult, QuotaClaim, QuotaGrant, RegistryCopy,
-                RegistryState, RelayService, RelayedRequest, RelayedResponse, Subquery,
-                SubqueryService, SyncStatus, WireEntries, unpack,
+                self, ChangeBatch, CopyProof, EncodedEntries, FleetService, LimitService,
+                MissingChanges, OrganisationService, PartialResult, PlacementCall, PlacementEnd,
+                PlacementService, QuotaClaim, QuotaGrant, RegistryCopy, RegistryState,
+                RelayService, RelayedRequest, RelayedResponse, Subquery, SubqueryService,
+                SyncStatus, WireEntries, unpack,
             },
             registry::Entry,
         },
@@ -342,6 +344,14 @@
     }
 }
 
+impl PlacementService for Idle {
+    fn place(&self, _call: PlacementCall) -> Result<BoxFuture<'static, Decision>, &'static str> {
+        Err("not here")
+    }
+
+    fn end_place(&self, _end: PlacementEnd) {}
+}
+
 impl LimitService for Idle {
     fn share_limits(&self, _: &Name, _: Vec<Claim>) -> Vec<Share> {
         Vec::new()
@@ -425,15 +435,15 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let stop = CancellationToken::new();
-    tokio::spawn(fleet::serve(
-        listener,
-        copy.clone(),
-        Idle,
-        Idle,
-        Idle,
-        Idle,
-        stop.clone(),
-    ));
+    let service = FleetService {
+        registry_copy: copy.clone(),
+        subqueries: Idle,
+        limits: Idle,
+        relays: Idle,
+        organisations: Idle,
+        placements: Idle,
+    };
+    tokio::spawn(fleet::serve(listener, service, stop.clone()));
 
     // Act
     let mut updates = fleet::subscribe(address, Revision::default())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod ownership;
 mod partitions;
 mod parts;
+mod placements;
 mod planned_stops;
 mod policy;
 mod processes;
