--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,6 +33,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod organisations;
+pub mod placement;
 pub mod registration;
 pub mod registry_sync;
 pub mod registry_view;
@@ -50,6 +51,7 @@
     leaf_reach::LeafReach,
     limits::LimitSharing,
     metrics::Metrics,
+    placement::PlacementState,
     settings::{HostSettings, QuotaRule, ReloadableSettings, RolloutRule},
     view::{LeafHandle, View},
 };
@@ -105,6 +107,8 @@
     pub limits: LimitSharing,
     /// Requests under which leaves ended.
     pub crashes: CrashRecords,
+    /// Places at leaves that this host gives out, and hosts that gave none.
+    pub placement: PlacementState,
     /// Whether this host reaches leaves.
     pub leaf_reach: LeafReach,
     /// What the last renewal of this host's lease has shown about the registry.
@@ -147,6 +151,7 @@
             reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
             crashes: CrashRecords::default(),
+            placement: PlacementState::default(),
             leaf_reach: LeafReach::default(),
             registry_contact: watch::Sender::default(),
             view: ArcSwap::default(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,7 @@
     /// Milliseconds for which changes of the registry may be missing in this host's copy, as far as
     /// it is proven; -1 without a proof.
     pub proof_age: IntGauge,
+    placements: IntCounterVec,
     registry_calls: IntCounterVec,
     /// Failures of the registry sync.
     pub failed_syncs: IntCounter,
@@ -163,6 +164,29 @@
     }
 }
 
+/// What became of a request that needs a place at a leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementResult {
+    /// It got one.
+    Placed,
+    /// It can't be answered in time.
+    Refused,
+    /// This host chose the leaf without the placer.
+    Without,
+}
+
+impl PlacementResult {
+    /// Returns the name that metrics use.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Placed => "placed",
+            Self::Refused => "refused",
+            Self::Without => "without",
+        }
+    }
+}
+
 impl Metrics {
     /// Returns metrics in a new Prometheus registry.
     ///
@@ -239,6 +263,11 @@
                 "copy_proof_age_ms",
                 "Age of the proof that the copy of the registry is current; -1 without one",
             )?,
+            placements: counters(
+                "placements_total",
+                "Requests that need a place at a leaf, by result",
+                &["result"],
+            )?,
             registry_calls: counters(
                 "registry_calls_total",
                 "Calls to the registry by result",
@@ -288,6 +317,11 @@
         broken.with_label_values(&[check.name()]).inc();
     }
 
+    /// Counts a request that needs a place at a leaf.
+    pub fn record_placement(&self, result: PlacementResult) {
+        self.placements.with_label_values(&[result.name()]).inc();
+    }
+
     /// Records what became of a request that was handed to another host.
     pub fn record_relay(&self, outcome: RelayOutcome) {
         self.relays.with_label_values(&[outcome.name()]).inc();
