Quotas of organisations: two allocators each, one claim a request

Cause: nothing kept to the quotas that organisations have. Change: a request takes a token from one of the two allocators of its organisation, or from the reserve while one doesn't answer; each has a bucket of its own, so the sum over hosts is the sum over buckets. Denied requests get 429 with the time until their turn. serve.rs has one call, which does nothing until requests know their organisation.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,8 @@
 //!    [`transport::leaf`](crate::transport::leaf);
 //! 5. [`response`] builds the caller's response from the replies.
 //!
+//! [`quotas`] keeps to the quotas of organisations before a request is sent.
+//!
 //! Two modules watch what attempts show: [`crashes`] recognises requests under which leaves end,
 //! and [`leaf_reach`] whether this host reaches leaves; while it doesn't, [`relay`] hands requests
 //! to other hosts.
@@ -31,6 +33,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod organisations;
+pub mod quotas;
 pub mod registration;
 pub mod registry_sync;
 pub mod registry_view;
@@ -48,10 +51,13 @@
     leaf_reach::LeafReach,
     limits::LimitSharing,
     metrics::Metrics,
-    settings::{HostSettings, QuotaRule, ReloadableSettings, RolloutRule},
+    quotas::Quotas,
+    settings::{HostSettings, ReloadableSettings, RolloutRule},
     view::{LeafHandle, View},
 };
 
+pub use crate::state::organisations::QuotaRule;
+
 use {
     crate::{
         clock::Millis,
@@ -97,6 +103,8 @@
     pub reply_buffers: ReplyBuffers,
     /// Rate limits of leaves that this host knows of or allocates.
     pub limits: LimitSharing,
+    /// Quotas of organisations that this host's callers use or that it allocates.
+    pub quotas: Quotas,
     /// Requests under which leaves ended.
     pub crashes: CrashRecords,
     /// Whether this host reaches leaves.
@@ -138,6 +146,7 @@
             registry_copy: RegistryCopy::default(),
             reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
+            quotas: Quotas::default(),
             crashes: CrashRecords::default(),
             leaf_reach: LeafReach::default(),
             registry_contact: watch::Sender::default(),
@@ -176,6 +185,10 @@
 
     /// Replaces the view for requests that start from now on.
     pub fn publish_view(&self, view: View) {
+        if self.settings.quota_rule.is_some() {
+            self.quotas
+                .record_view(&self.settings.id, &view, Instant::now());
+        }
         self.view.store(Arc::new(view));
         self.is_out_of_sync.store(false, Ordering::Relaxed);
     }
--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -8,7 +8,7 @@
             delegation::{self, Helper},
             helper_failure,
         },
-        state::{fleet_budget::BudgetShare, roster::Member},
+        state::{fleet_budget::BudgetShare, quota_allocator::HostPlace, roster::Member},
         transport::fleet::PeerChannel,
     },
     rand::seq::SliceRandom,
@@ -135,6 +135,17 @@
         self.domains.values().flatten().map(|helper| &helper.id)
     }
 
+    /// Returns the hosts with their domains.
+    pub fn places(&self) -> impl Iterator<Item = HostPlace> {
+        let domains = self.domains.iter();
+        domains.flat_map(|(domain, helpers)| {
+            helpers.iter().map(|helper| HostPlace {
+                domain: domain.clone(),
+                id: helper.id.clone(),
+            })
+        })
+    }
+
     /// Returns the host with the name `id`.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<HelperHandle>> {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of an entry host.
 
 use {
-    super::crash_check::LeafCheck,
+    super::{crash_check::LeafCheck, quotas::QuotaOutcome},
     crate::{policy::rejection::Reason, protocol::verdict::Cause, transport::connection::End},
     eyre::Result,
     prometheus::{
@@ -35,6 +35,8 @@
     broken_connections: IntCounterVec,
     subqueries: IntCounterVec,
     relays: IntCounterVec,
+    quotas: IntCounterVec,
+    quota_grants: IntCounterVec,
     registry_calls: IntCounterVec,
     /// Failures of the registry sync.
     pub failed_syncs: IntCounter,
@@ -226,6 +228,16 @@
                 "Requests handed to other hosts, since this one reaches no leaf, by outcome",
                 &["outcome"],
             )?,
+            quotas: counters(
+                "quota_requests_total",
+                "Requests of organisations with a quota, by what was decided",
+                &["outcome"],
+            )?,
+            quota_grants: counters(
+                "quota_grants_total",
+                "Requests for which this host was asked as an allocator, by result",
+                &["result"],
+            )?,
             registry_calls: counters(
                 "registry_calls_total",
                 "Calls to the registry by result",
@@ -280,6 +292,19 @@
         self.relays.with_label_values(&[outcome.name()]).inc();
     }
 
+    /// Records how the quota of a request was decided.
+    pub fn record_quota(&self, outcome: QuotaOutcome) {
+        self.quotas.with_label_values(&[outcome.name()]).inc();
+    }
+
+    /// Records what a claim got from this host, as an allocator.
+    pub fn record_quota_grant(&self, granted: u32, denied: u32) {
+        for (result, count) in [("granted", granted), ("denied", denied)] {
+            let counter = self.quota_grants.with_label_values(&[result]);
+            counter.inc_by(u64::from(count));
+        }
+    }
+
     /// Records how many requests are held since they crash leaves.
     pub fn record_held_requests(&self, count: usize) {
         self.held_requests
--- a/src/gateway/organisations.rs
+++ b/src/gateway/organisations.rs
@@ -16,8 +16,8 @@
 pub struct OrganisationServer(pub Arc<Gateway>);
 
 impl OrganisationService for OrganisationServer {
-    fn take_quota(&self, _host: &Name, _claims: Vec<QuotaClaim>) -> Vec<QuotaGrant> {
-        Vec::new()
+    fn take_quota(&self, _host: &Name, claims: Vec<QuotaClaim>) -> Vec<QuotaGrant> {
+        self.0.take_quota(&claims)
     }
 
     fn prove_current(&self) -> Option<CopyProof> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -188,6 +188,7 @@
                 version: known,
                 started,
                 is_relayed: true,
+                caller: None,
             };
             let outgoing = OutgoingRequest {
                 id: request.id,
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -108,7 +108,13 @@
 /// `after` in seconds, with milliseconds.
 #[must_use]
 pub fn reject(after: Duration, message: &'static str) -> FullResponse {
-    let mut response = plain_text(StatusCode::SERVICE_UNAVAILABLE, message);
+    reject_with(StatusCode::SERVICE_UNAVAILABLE, after, message)
+}
+
+/// Returns the same with another status.
+#[must_use]
+pub fn reject_with(status: StatusCode, after: Duration, message: &'static str) -> FullResponse {
+    let mut response = plain_text(status, message);
     let after = format!("{:.3}", after.as_secs_f64());
     if let Ok(after) = HeaderValue::from_str(&after) {
         response.headers_mut().insert(header::RETRY_AFTER, after);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -6,6 +6,7 @@
         attempt::{OutgoingRequest, RequestProgress},
         gather::ScatterGather,
         hedged_request::{HedgedRequest, attempts::State},
+        quotas::{self, QuotaFacts, QuotaVerdict},
         relay::Relayed,
         response::{self, FullResponse},
         view::{View, lock},
@@ -15,13 +16,17 @@
         collections::Name,
         policy::{
             admission::Admission,
+            quota::Refusal,
             rejection::{self, Reason},
             relaying::{self, RelayFacts},
             response_timing::Wait,
             shutdown::LateRequest,
         },
         protocol::verdict::{Cause, Failure, Verdict},
-        state::routes::{Destination, Route, RouteTable, Shards, SplitService},
+        state::{
+            organisations::Organisation,
+            routes::{Destination, Route, RouteTable, Shards, SplitService},
+        },
     },
     bytes::Bytes,
     futures_util::FutureExt,
@@ -79,6 +84,7 @@
         version: routes.version,
         started,
         is_relayed: false,
+        caller: None,
     };
     request.respond(outgoing).await
 }
@@ -185,6 +191,8 @@
     pub(super) started: Instant,
     /// Whether another host has handed it to this one.
     pub(super) is_relayed: bool,
+    /// Organisation of the caller; `None` where callers don't identify themselves.
+    pub(super) caller: Option<Arc<Organisation>>,
 }
 
 /// How a response came about, for the log.
@@ -208,8 +216,10 @@
             _ if !is_admitted => self.reject(Reason::Stopping),
             (_, Some(left)) => self.reject_held(&outgoing, left),
             _ if self.should_relay(false) => self.relay_or_reject(&outgoing).await,
-            (Destination::Split(parts), None) => self.send_to_leaf(parts, outgoing).await,
-            (Destination::Shards(shards), None) => self.gather(shards, outgoing).await,
+            (destination, None) => match self.check_quota(&outgoing).await {
+                Some(reason) => self.reject(reason),
+                None => self.send(destination, outgoing).await,
+            },
         };
         let took = self.started.elapsed();
         let status = response.status().as_u16();
@@ -259,6 +269,31 @@
         self.reject(Reason::Quarantined(left))
     }
 
+    /// Takes the request from its organisation's quota; returns the reason to reject it, if any.
+    async fn check_quota(&self, outgoing: &OutgoingRequest) -> Option<Reason> {
+        let caller = self.caller.as_ref()?;
+        let facts = QuotaFacts {
+            objective: self.route.objective,
+            left: outgoing.deadline.saturating_duration_since(Instant::now()),
+        };
+        match quotas::admit(self.gateway, caller, &facts).await {
+            QuotaVerdict::Admitted => None,
+            QuotaVerdict::Refused(Refusal::OverQuota(wait)) => Some(Reason::OverQuota(wait)),
+            QuotaVerdict::Refused(Refusal::Unknown(wait)) => Some(Reason::QuotaUnknown(wait)),
+        }
+    }
+
+    async fn send(
+        &self,
+        destination: &Destination,
+        outgoing: OutgoingRequest,
+    ) -> (FullResponse, ResponseLog) {
+        match destination {
+            Destination::Split(parts) => self.send_to_leaf(parts, outgoing).await,
+            Destination::Shards(shards) => self.gather(shards, outgoing).await,
+        }
+    }
+
     /// Sends a request to one leaf and forwards its reply.
     async fn send_to_leaf(
         &self,
@@ -434,7 +469,12 @@
         let route_stats = self.view.route_stats.get(&self.route.name);
         let baseline = route_stats.and_then(|route_stats| route_stats.baseline());
         self.gateway.metrics.record_rejection(reason);
-        let response = response::reject(rejection::retry_after(reason, baseline), reason.name());
+        let status = match reason {
+            Reason::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let after = rejection::retry_after(reason, baseline);
+        let response = response::reject_with(status, after, reason.name());
         let log = ResponseLog {
             reason: Some(reason),
             ..ResponseLog::default()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,21 +1,13 @@
 //! Settings that the platform gives an entry host.
 
 use {
-    crate::{collections::Name, state::fleet_budget::FleetBudget},
+    crate::{
+        collections::Name,
+        state::{fleet_budget::FleetBudget, organisations::QuotaRule},
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
-/// How closely the quotas of organisations are kept.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QuotaRule {
-    /// Span of time for which a quota binds.
-    pub window: Duration,
-    /// Share by which all hosts together may exceed a quota.
-    pub overage: f64,
-    /// Requests by which they may exceed it besides.
-    pub slack: f64,
-}
-
 /// Limits on what a version of a service may get while it is rolled out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutRule {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 pub mod leaf_selection;
 pub mod limit_sharing;
 pub mod merge;
+pub mod quota;
 pub mod rejection;
 pub mod relaying;
 pub mod response_timing;
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -24,6 +24,11 @@
     Unreachable,
     /// Leaves have ended under the request, and none gets it for this long.
     Quarantined(Duration),
+    /// The caller's organisation has used up its quota for this long.
+    OverQuota(Duration),
+    /// Nobody has answered whether the organisation's quota is used up; the caller should come
+    /// back after this time.
+    QuotaUnknown(Duration),
     /// This host is stopping, and the request can't end before it has ended.
     Stopping,
 }
@@ -54,7 +59,10 @@
         Reason::NoLeaf | Reason::TooFewShards => RESTART_TIME,
         Reason::Full => baseline.map_or(DEFAULT_DELAY, |baseline| baseline * DRAIN_FACTOR),
         Reason::Overloaded => OVERLOAD_TIME,
-        Reason::RateLimited(wait) | Reason::Quarantined(wait) => wait,
+        Reason::RateLimited(wait)
+        | Reason::Quarantined(wait)
+        | Reason::OverQuota(wait)
+        | Reason::QuotaUnknown(wait) => wait,
         Reason::Unreachable => RESTART_TIME / 2,
         // Other hosts serve at present.
         Reason::Stopping => Duration::ZERO,
@@ -74,6 +82,8 @@
             Self::RateLimited(_) => "rate_limited",
             Self::Unreachable => "unreachable",
             Self::Quarantined(_) => "quarantined",
+            Self::OverQuota(_) => "over_quota",
+            Self::QuotaUnknown(_) => "quota_unknown",
             Self::Stopping => "stopping",
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,6 +13,8 @@
 pub mod leaves;
 pub mod organisations;
 pub mod quarantine;
+pub mod quota_allocator;
+pub mod quota_bucket;
 pub mod ramp;
 pub mod rate_allocator;
 pub mod rejections;
--- a/src/state/organisations.rs
+++ b/src/state/organisations.rs
@@ -5,7 +5,7 @@
         collections::{Map, Name},
         protocol::fingerprint::Fingerprint,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// An organisation of callers.
@@ -28,6 +28,17 @@
     pub burst: f64,
 }
 
+/// How closely the quotas of organisations are kept.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRule {
+    /// Span of time for which a quota binds.
+    pub window: Duration,
+    /// Share by which all hosts together may exceed a quota.
+    pub overage: f64,
+    /// Requests by which they may exceed it besides.
+    pub slack: f64,
+}
+
 /// Digest of a key. The key itself is not kept, so that no log and no message can show it,
 /// and a comparison of digests tells nothing about a key by its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
