--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -135,6 +135,12 @@
         &self.gateway.settings
     }
 
+    /// Returns the state that its requests share.
+    #[must_use]
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
     /// Applies those of `settings` that can change while the host runs.
     pub fn reload(&self, settings: &HostSettings) {
         self.gateway.reload(settings);
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -259,7 +259,7 @@
         };
         match quota::refusal(&claimed.replies) {
             Refusal::OverQuota(wait) if refused > 0 => {
-                callers.record_denial(gateway, organisation, wait, refused, now);
+                callers.record_denial(gateway, organisation, quota, wait, refused, now);
             }
             _ if claimed.is_granted => callers.record_grant(gateway, organisation, now),
             _ => {}
--- a/src/gateway/quotas/callers.rs
+++ b/src/gateway/quotas/callers.rs
@@ -102,12 +102,13 @@
         &mut self,
         gateway: &Gateway,
         organisation: &Name,
+        quota: Quota,
         wait: Duration,
         refused: u32,
         now: Instant,
     ) {
         self.denial = Some(Denial {
-            until: now + quota::denial_time(wait),
+            until: now + quota::denial_time(wait, quota),
             retry_at: now + wait,
             refused,
         });
--- a/src/gateway/quotas/claim.rs
+++ b/src/gateway/quotas/claim.rs
@@ -4,7 +4,7 @@
     super::super::{Gateway, view::View},
     crate::{
         collections::Name,
-        policy::quota::{self, Patience, Reply},
+        policy::quota::{self, Patience, Refusal, Reply},
         state::quota_allocator::Role,
         transport::fleet::{QuotaClaim, QuotaGrant},
     },
@@ -84,6 +84,7 @@
         } else if calls.is_empty() {
             break;
         }
+        let is_denied = matches!(quota::refusal(&claimed.replies), Refusal::OverQuota(_));
         let hedge_at = Instant::now() + patience.hedge_delay;
         tokio::select! {
             Some((host, reply)) = calls.next() => {
@@ -97,7 +98,13 @@
                 }
                 asks_next = calls.is_empty();
             }
-            () = sleep_until(hedge_at.into()), if order.peek().is_some() => asks_next = true,
+            () = sleep_until(hedge_at.into()), if order.peek().is_some() || is_denied => {
+                // The others have nothing left: a host that is this slow won't change much.
+                if order.peek().is_none() {
+                    break;
+                }
+                asks_next = true;
+            }
             () = sleep_until(give_up.into()) => break,
         }
     }
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -70,9 +70,9 @@
 /// Longest time after which a refused caller should come back.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
-/// Time after which a caller should come back that got no answer about its quota: an allocator
-/// that ended is back, or hosts have stopped asking it first.
-const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller should come back that got no answer about its quota: hosts have
+/// stopped asking first those that did not answer.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Time for which a host that did not answer is asked last.
 pub const SILENT_TIME: Duration = Duration::from_secs(1);
@@ -235,7 +235,7 @@
 }
 
 /// Returns the hosts that are asked for requests of a quota, in this order: this host, the other
-/// allocators, those that did not answer a moment ago, and last the reserve. `prefers_second`
+/// allocators, the reserve, and last those that did not answer a moment ago. `prefers_second`
 /// varies between requests, so that both allocators are used.
 #[must_use]
 pub fn ask_order<'a>(
@@ -248,7 +248,7 @@
     if prefers_second && order.len() >= ALLOCATORS {
         order.swap(0, ALLOCATORS - 1);
     }
-    order.sort_by_key(|(id, role)| (*role == Role::Reserve, &***id != own, is_silent(id)));
+    order.sort_by_key(|(id, role)| (is_silent(id), *role == Role::Reserve, &***id != own));
     order
 }
 
@@ -274,17 +274,23 @@
         .map_or(Refusal::Unknown(UNKNOWN_RETRY_AFTER), Refusal::OverQuota)
 }
 
-/// Returns for how long a host refuses requests without asking, after a denial for `wait`.
+/// Returns for how long a host refuses requests without asking, after a denial for `wait`: no
+/// longer than each allocator's next token takes, which would stay unused otherwise.
 #[must_use]
-pub fn denial_time(wait: Duration) -> Duration {
-    wait.min(MAX_DENIAL_TIME)
+pub fn denial_time(wait: Duration, quota: Quota) -> Duration {
+    wait.min(MAX_DENIAL_TIME).min(spacing(2, quota))
 }
 
 /// Returns the time after which a caller should come back that this host refuses `place` places
 /// after one that it told to come back after `wait`.
 #[must_use]
 pub fn retry_after(wait: Duration, place: u32, quota: Quota) -> Duration {
-    let spacing = Duration::try_from_secs_f64(f64::from(place) / quota.rate);
-    let spacing = spacing.unwrap_or(MAX_RETRY_AFTER);
-    wait.saturating_add(spacing).min(MAX_RETRY_AFTER)
+    wait.saturating_add(spacing(place, quota))
+        .min(MAX_RETRY_AFTER)
+}
+
+/// Returns the time in which `requests` become free.
+fn spacing(requests: u32, quota: Quota) -> Duration {
+    let spacing = Duration::try_from_secs_f64(f64::from(requests) / quota.rate);
+    spacing.unwrap_or(MAX_RETRY_AFTER)
 }
