--- a/src/gateway/quotas/claim.rs
+++ b/src/gateway/quotas/claim.rs
@@ -60,10 +60,11 @@
     patience: &Patience,
 ) -> Claimed {
     let started = Instant::now();
-    let give_up = started + patience.total;
     let hosts: Vec<_> = view.helpers.places().collect();
     let granters = quota::choose_granters(organisation, &hosts);
     let is_silent = |host: &str| gateway.quotas.is_silent(host, started);
+    let is_cut_off = granters.iter().all(|(host, _)| is_silent(host));
+    let give_up = started + quota::claim_time(patience, is_cut_off);
     let order = quota::ask_order(&granters, &gateway.settings.id, is_silent, rand::random());
     let mut order = order.into_iter().peekable();
     let mut claimed = Claimed::default();
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -234,6 +234,17 @@
     }
 }
 
+/// Returns how long a claim waits for replies. `is_cut_off` tells that none of the hosts to ask
+/// answered a moment ago: a refusal that comes at once lets the caller go elsewhere in time.
+#[must_use]
+pub fn claim_time(patience: &Patience, is_cut_off: bool) -> Duration {
+    if is_cut_off {
+        patience.hedge_delay.min(patience.total)
+    } else {
+        patience.total
+    }
+}
+
 /// Returns the hosts that are asked for requests of a quota, in this order: this host, the other
 /// allocators, the reserve, and last those that did not answer a moment ago. `prefers_second`
 /// varies between requests, so that both allocators are used.
