Merge quotas of organisations

The organisation that the keys give a request is the one whose quota it takes; relayed requests are authorized and counted at the host that handles them.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,8 @@
 //!    [`transport::leaf`](crate::transport::leaf);
 //! 5. [`response`] builds the caller's response from the replies.
 //!
+//! [`quotas`] keeps to the quotas of organisations before a request is sent.
+//!
 //! Two modules watch what attempts show: [`crashes`] recognises requests under which leaves end,
 //! and [`leaf_reach`] whether this host reaches leaves; while it doesn't, [`relay`] hands requests
 //! to other hosts.
@@ -34,6 +36,7 @@
 pub mod metrics;
 pub mod organisations;
 pub mod placement;
+pub mod quotas;
 pub mod registration;
 pub mod registry_sync;
 pub mod registry_view;
@@ -52,10 +55,13 @@
     limits::LimitSharing,
     metrics::Metrics,
     placement::PlacementState,
-    settings::{HostSettings, QuotaRule, ReloadableSettings, RolloutRule},
+    quotas::Quotas,
+    settings::{HostSettings, ReloadableSettings, RolloutRule},
     view::{LeafHandle, View},
 };
 
+pub use crate::state::organisations::QuotaRule;
+
 use {
     crate::{
         clock::{BootTime, Millis},
@@ -105,6 +111,8 @@
     pub reply_buffers: ReplyBuffers,
     /// Rate limits of leaves that this host knows of or allocates.
     pub limits: LimitSharing,
+    /// Quotas of organisations that this host's callers use or that it allocates.
+    pub quotas: Quotas,
     /// Requests under which leaves ended.
     pub crashes: CrashRecords,
     /// Places at leaves that this host gives out, and hosts that gave none.
@@ -150,6 +158,7 @@
             registry_copy: RegistryCopy::default(),
             reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
+            quotas: Quotas::default(),
             crashes: CrashRecords::default(),
             placement: PlacementState::default(),
             leaf_reach: LeafReach::default(),
@@ -190,6 +199,10 @@
 
     /// Replaces the view for requests that start from now on.
     pub fn publish_view(&self, view: View) {
+        if self.settings.quota_rule.is_some() {
+            self.quotas
+                .record_view(&self.settings.id, &view, Instant::now());
+        }
         self.view.store(Arc::new(view));
         self.is_out_of_sync.store(false, Ordering::Relaxed);
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,6 +8,7 @@
         gather::ScatterGather,
         hedged_request::{HedgedRequest, attempts::State},
         placement::Placed,
+        quotas::{self, QuotaFacts, QuotaVerdict},
         relay::Relayed,
         response::{self, FullResponse},
         view::{View, lock},
@@ -17,6 +18,7 @@
         collections::Name,
         policy::{
             admission::Admission,
+            quota::Refusal,
             rejection::{self, Reason},
             relaying::{self, RelayFacts},
             response_timing::Wait,
@@ -236,8 +238,10 @@
             _ if !is_admitted => self.reject(Reason::Stopping),
             (_, Some(left)) => self.reject_held(&outgoing, left),
             _ if self.should_relay(&outgoing, false) => self.relay_or_reject(&outgoing).await,
-            (Destination::Split(parts), None) => self.send_to_leaf(parts, outgoing).await,
-            (Destination::Shards(shards), None) => self.gather(shards, outgoing).await,
+            (destination, None) => match self.check_quota(&outgoing).await {
+                Some(reason) => self.reject(reason),
+                None => self.send(destination, outgoing).await,
+            },
         };
         let took = self.started.elapsed();
         let status = response.status().as_u16();
@@ -288,6 +292,31 @@
         self.reject(Reason::Quarantined(left))
     }
 
+    /// Takes the request from its organisation's quota; returns the reason to reject it, if any.
+    async fn check_quota(&self, outgoing: &OutgoingRequest) -> Option<Reason> {
+        let caller = self.caller.as_ref()?;
+        let facts = QuotaFacts {
+            objective: self.route.objective,
+            left: outgoing.deadline.saturating_duration_since(Instant::now()),
+        };
+        match quotas::admit(self.gateway, caller, &facts).await {
+            QuotaVerdict::Admitted => None,
+            QuotaVerdict::Refused(Refusal::OverQuota(wait)) => Some(Reason::OverQuota(wait)),
+            QuotaVerdict::Refused(Refusal::Unknown(wait)) => Some(Reason::QuotaUnknown(wait)),
+        }
+    }
+
+    async fn send(
+        &self,
+        destination: &Destination,
+        outgoing: OutgoingRequest,
+    ) -> (FullResponse, ResponseLog) {
+        match destination {
+            Destination::Split(parts) => self.send_to_leaf(parts, outgoing).await,
+            Destination::Shards(shards) => self.gather(shards, outgoing).await,
+        }
+    }
+
     /// Sends a request to one leaf and forwards its reply.
     async fn send_to_leaf(
         &self,
@@ -477,7 +506,12 @@
         let route_stats = self.view.route_stats.get(&self.route.name);
         let baseline = route_stats.and_then(|route_stats| route_stats.baseline());
         self.gateway.metrics.record_rejection(reason);
-        let response = response::reject(rejection::retry_after(reason, baseline), reason.name());
+        let status = match reason {
+            Reason::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let after = rejection::retry_after(reason, baseline);
+        let response = response::reject_with(status, after, reason.name());
         let log = ResponseLog {
             reason: Some(reason),
             ..ResponseLog::default()
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,6 +11,7 @@
 pub mod merge;
 pub mod placement;
 pub mod proof_renewal;
+pub mod quota;
 pub mod rejection;
 pub mod relaying;
 pub mod response_timing;
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -28,6 +28,11 @@
     Quarantined(Duration),
     /// This host has no proof that its copy of the registry has all withdrawals of keys.
     Unproven,
+    /// The caller's organisation has used up its quota for this long.
+    OverQuota(Duration),
+    /// Nobody has answered whether the organisation's quota is used up; the caller should come
+    /// back after this time.
+    QuotaUnknown(Duration),
     /// This host is stopping, and the request can't end before it has ended.
     Stopping,
 }
@@ -61,7 +66,11 @@
         Reason::NoLeaf | Reason::TooFewShards => RESTART_TIME,
         Reason::Full => baseline.map_or(DEFAULT_DELAY, |baseline| baseline * DRAIN_FACTOR),
         Reason::Overloaded => OVERLOAD_TIME,
-        Reason::RateLimited(wait) | Reason::Quarantined(wait) | Reason::Crowded(wait) => wait,
+        Reason::RateLimited(wait)
+        | Reason::Quarantined(wait)
+        | Reason::Crowded(wait)
+        | Reason::OverQuota(wait)
+        | Reason::QuotaUnknown(wait) => wait,
         Reason::Unreachable => RESTART_TIME / 2,
         Reason::Unproven => PROOF_TIME,
         // Other hosts serve at present.
@@ -84,6 +93,8 @@
             Self::Unreachable => "unreachable",
             Self::Quarantined(_) => "quarantined",
             Self::Unproven => "unproven",
+            Self::OverQuota(_) => "over_quota",
+            Self::QuotaUnknown(_) => "quota_unknown",
             Self::Stopping => "stopping",
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,8 @@
 pub mod organisations;
 pub mod placements;
 pub mod quarantine;
+pub mod quota_allocator;
+pub mod quota_bucket;
 pub mod ramp;
 pub mod rate_allocator;
 pub mod rejections;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod planned_stops;
 mod policy;
 mod processes;
+mod quotas;
 mod roster;
 mod settings;
 mod snapshots;
