Keys: one host asks the registry for proofs, the others ask it

Change: the first host of the fleet asks the registry, other direct hosts ask it or the second one first.

--- a/src/gateway/copy_proof.rs
+++ b/src/gateway/copy_proof.rs
@@ -1,11 +1,11 @@
 //! Keeps this host's copy of the registry proven current, where withdrawn keys have a time limit.
 
 use {
-    super::{Gateway, helpers::HelperHandle},
+    super::{Gateway, helpers::HelperHandle, view::View},
     crate::{
         clock::{BootTime, Millis, millis},
         policy::{
-            proof_renewal::{self, HOSTS_ASKED, Prover},
+            proof_renewal::{self, HOSTS_ASKED, Prover, Role},
             sync_source,
         },
         state::{copy_proof::Proof, revision::Revision},
@@ -86,9 +86,11 @@
             return due;
         }
         let calls_registry = Millis::now() >= self.registry_due;
-        for prover in proof_renewal::provers(self.gateway.is_follower(), calls_registry) {
+        let role = self.role(&view);
+        for prover in proof_renewal::provers(role, calls_registry) {
             match prover {
                 Prover::Registry => self.ask_registry().await,
+                Prover::Lead => self.ask_leads().await,
                 Prover::Source => self.ask_source().await,
                 Prover::OtherHosts => self.ask_other_hosts().await,
             }
@@ -101,6 +103,16 @@
             .max(proof_renewal::retry_delay(self.lifetime, rand::random()))
     }
 
+    fn role(&self, view: &View) -> Role {
+        if self.gateway.is_follower() {
+            Role::Follower
+        } else if view.helpers.is_lead(&self.gateway.settings.id) {
+            Role::Lead
+        } else {
+            Role::Direct
+        }
+    }
+
     /// Returns the time until the proof is renewed.
     fn delay(&self) -> Duration {
         proof_renewal::renewal_delay(self.gateway.copy_age(), self.lifetime, rand::random())
@@ -125,6 +137,16 @@
         }
     }
 
+    async fn ask_leads(&self) {
+        let view = self.gateway.view();
+        for lead in view.helpers.leads(&self.gateway.settings.id) {
+            self.ask_host(lead, Prover::Lead).await;
+            if !self.delay().is_zero() {
+                return;
+            }
+        }
+    }
+
     async fn ask_source(&self) {
         let view = self.gateway.view();
         let source = self.gateway.source_address();
--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -34,12 +34,17 @@
 /// Time for which a host that had a proof of its copy of the registry is taken to have one.
 const PROOF_TTL: Duration = Duration::from_millis(1_500);
 
+/// Hosts that are asked in turn for a proof that a copy of the registry is current.
+const MAX_LEADS: usize = 2;
+
 /// Entry hosts by domain.
 #[derive(Debug, Default)]
 pub struct HelperPool {
     domains: Map<Name, Vec<Arc<HelperHandle>>>,
     /// Hosts that handle requests for this one while it can't reach leaves.
     relays: Vec<Arc<HelperHandle>>,
+    /// The lead of the fleet and the host that takes its place.
+    leads: Vec<Arc<HelperHandle>>,
     /// Median processor share of a host, thousandths of a core.
     median_processor: u32,
     /// Since when the hosts are these.
@@ -81,7 +86,9 @@
     ) -> Self {
         let mut processors: Vec<u32> = Vec::new();
         let mut domains: Map<Name, Vec<&Member>> = Map::default();
+        let mut all: Vec<&Member> = Vec::new();
         for member in members {
+            all.push(member);
             processors.push(member.millicores);
             domains
                 .entry(member.domain.clone())
@@ -118,6 +125,8 @@
             (domain, members.into_iter().map(&mut handle_of).collect())
         });
         let domains: Map<Name, Vec<Arc<HelperHandle>>> = kept.collect();
+        all.sort_by_cached_key(|member| member.sort_key());
+        let leads = all.into_iter().take(MAX_LEADS).map(handle_of).collect();
         let has_same_hosts = domains.len() == before.domains.len()
             && domains.iter().all(|(domain, hosts)| {
                 let known = before.domains.get(domain).map_or(&[][..], |known| known);
@@ -130,6 +139,7 @@
         Self {
             domains,
             relays,
+            leads,
             median_processor: median.copied().unwrap_or_default(),
             changed_at: before.changed_at.filter(|_| has_same_hosts).or(Some(now)),
         }
@@ -183,6 +193,17 @@
         self.relays.iter().any(|relay| relay.has_proof(now))
     }
 
+    /// Returns whether the host `own` asks the registry for proofs for all hosts.
+    #[must_use]
+    pub fn is_lead(&self, own: &str) -> bool {
+        self.leads.first().is_some_and(|lead| *lead.id == *own)
+    }
+
+    /// Returns the hosts that the host `own` asks for proofs, in order.
+    pub fn leads(&self, own: &str) -> impl Iterator<Item = &Arc<HelperHandle>> {
+        self.leads.iter().take_while(move |lead| *lead.id != *own)
+    }
+
     /// Returns the host at `address`.
     #[must_use]
     pub fn at(&self, address: SocketAddr) -> Option<&Arc<HelperHandle>> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -196,9 +196,11 @@
         None => Err("no route"),
         Some((routes, route)) => {
             match authorization::admit_relayed(&gateway, routes, route, copy_age, &mut request) {
-                Ok(caller) => Ok(Ok((authorization::route_for(&caller, route), caller))),
-                Err(Refusal::Unauthorized) => Ok(Err(Refusal::Unauthorized)),
                 Err(refusal @ Refusal::Unproven) => Err(refusal.name()),
+                // The caller gets this response.
+                checked => {
+                    Ok(checked.map(|caller| (authorization::route_for(&caller, route), caller)))
+                }
             }
         }
     };
@@ -207,11 +209,7 @@
         "age_ms" => millis(request.age), "refused" => admitted.as_ref().err());
     let (route, caller) = match admitted? {
         Ok(admitted) => admitted,
-        Err(refusal) => {
-            return Ok(Box::pin(
-                async move { to_relayed(refusal.response()).await },
-            ));
-        }
+        Err(refusal) => return Ok(Box::pin(to_relayed(refusal.response()))),
     };
     let now = Instant::now();
     let started = now.checked_sub(request.age).unwrap_or(now);
--- a/src/policy/proof_renewal.rs
+++ b/src/policy/proof_renewal.rs
@@ -1,8 +1,9 @@
 //! When a host renews the proof that its copy of the registry is current, and whom it asks.
 //!
-//! Handles withdrawn keys, which bind all hosts within a set time, at the cost of few calls: hosts
-//! that sync from the registry ask it, those that sync from another host ask that one, and a host
-//! without an answer from there asks some others before the registry itself.
+//! Handles withdrawn keys, which bind all hosts within a set time, at the cost of few calls: one
+//! host of the fleet, the lead, asks the registry. Other hosts that sync from the registry ask the
+//! lead, those that sync from another host ask that one, and a host without an answer from there
+//! asks others and the registry itself.
 
 use std::time::Duration;
 
@@ -25,11 +26,24 @@
 /// Other hosts that are asked at once when the usual source has not answered.
 pub const HOSTS_ASKED: usize = 3;
 
+/// What a host does for the proofs of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It asks the registry for all hosts.
+    Lead,
+    /// It syncs from the registry, like the lead.
+    Direct,
+    /// It syncs from another host.
+    Follower,
+}
+
 /// Who can prove a copy current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Prover {
     /// The registry.
     Registry,
+    /// The lead, or the host that takes its place.
+    Lead,
     /// The host that this one syncs from.
     Source,
     /// Some other hosts.
@@ -39,12 +53,14 @@
 /// Returns whom a host asks, in order; `calls_registry` is false while the registry is left alone
 /// since it did not answer.
 #[must_use]
-pub fn provers(is_follower: bool, calls_registry: bool) -> &'static [Prover] {
-    match (is_follower, calls_registry) {
-        (true, true) => &[Prover::Source, Prover::OtherHosts, Prover::Registry],
-        (true, false) => &[Prover::Source, Prover::OtherHosts],
-        (false, true) => &[Prover::Registry, Prover::OtherHosts],
-        (false, false) => &[Prover::OtherHosts],
+pub fn provers(role: Role, calls_registry: bool) -> &'static [Prover] {
+    match (role, calls_registry) {
+        (Role::Follower, true) => &[Prover::Source, Prover::OtherHosts, Prover::Registry],
+        (Role::Follower, false) => &[Prover::Source, Prover::OtherHosts],
+        (Role::Direct, true) => &[Prover::Lead, Prover::Registry, Prover::OtherHosts],
+        (Role::Direct, false) => &[Prover::Lead, Prover::OtherHosts],
+        (Role::Lead, true) => &[Prover::Registry, Prover::OtherHosts],
+        (Role::Lead, false) => &[Prover::OtherHosts],
     }
 }
 
@@ -67,6 +83,6 @@
 pub fn answer_timeout(prover: Prover, lifetime: Duration) -> Duration {
     lifetime.mul_f64(match prover {
         Prover::Registry => CALL_RATIO,
-        Prover::Source | Prover::OtherHosts => HOST_RATIO,
+        Prover::Lead | Prover::Source | Prover::OtherHosts => HOST_RATIO,
     })
 }
--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -6,7 +6,7 @@
         clock::BootTime,
         policy::{
             authorization::{self, CallerFacts, CallerKey, Malformed, Verdict},
-            proof_renewal::{self, Prover},
+            proof_renewal::{self, Prover, Role},
         },
         state::{
             copy_proof::{CopyProofs, Proof},
@@ -249,7 +249,7 @@
     // 2,000 of its clock, at which its proof was a second old.
     let told_age = source.age(at(2_000)).expect("proven");
     let received = Proof {
-        sent_at: BootTime(at(2_500).0 - told_age),
+        sent_at: BootTime(at(2_500).0.saturating_sub(told_age)),
         ..told
     };
     let mut follower = CopyProofs::default();
@@ -263,8 +263,8 @@
 
 #[test]
 fn proofs_are_renewed_early_enough_to_last_while_a_host_is_cut_off() {
-    // A follower asks a source whose proof is as old as can be, and is cut off just before it
-    // would ask again.
+    // The lead's proof is as old as can be, so is that of the source that asks it, and a follower
+    // of the source is cut off just before it would ask again.
     let renewed = proof_renewal::renewal_delay(Some(Duration::ZERO), LIFETIME, 0.0);
     let retried = proof_renewal::retry_delay(LIFETIME, 1.0);
     assert!((renewed + 2 * retried) < LIFETIME.mul_f64(0.4));
@@ -274,11 +274,14 @@
 }
 
 #[test]
-fn a_follower_asks_its_source_first_and_the_registry_last() {
-    use Prover::{OtherHosts, Registry, Source};
+fn one_host_asks_the_registry_and_the_others_ask_hosts_first() {
+    use Prover::{Lead, OtherHosts, Registry, Source};
     let provers = proof_renewal::provers;
-    assert_eq!(provers(true, true), [Source, OtherHosts, Registry]);
-    assert_eq!(provers(true, false), [Source, OtherHosts]);
-    assert_eq!(provers(false, true), [Registry, OtherHosts]);
-    assert_eq!(provers(false, false), [OtherHosts]);
+    assert_eq!(provers(Role::Lead, true), [Registry, OtherHosts]);
+    assert_eq!(provers(Role::Lead, false), [OtherHosts]);
+    assert_eq!(provers(Role::Direct, true), [Lead, Registry, OtherHosts]);
+    assert_eq!(provers(Role::Direct, false), [Lead, OtherHosts]);
+    let follower = [Source, OtherHosts, Registry];
+    assert_eq!(provers(Role::Follower, true), follower);
+    assert_eq!(provers(Role::Follower, false), &follower[..2]);
 }
