--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -192,6 +192,8 @@
     /// Records that the registry sync has failed: the host isn't ready until the next view.
     pub fn record_failed_sync(&self) {
         self.is_out_of_sync.store(true, Ordering::Relaxed);
+        // The next copy may start with older routes.
+        *lock(&self.copy_proofs) = CopyProofs::default();
         self.metrics.failed_syncs.inc();
     }
 
@@ -338,11 +340,23 @@
         }
     }
 
-    /// Returns whether new callers are accepted: the host has routes, its registry sync goes
-    /// on, and it is not stopping.
+    /// Returns whether callers with keys can be served: once the copy has been proven current, if
+    /// that is needed.
+    fn can_check_callers(&self, view: &View) -> bool {
+        let routes = view.routes.as_ref();
+        let has_organisations = routes.is_some_and(|routes| !routes.organisations.is_empty());
+        !has_organisations || self.copy_age().is_some()
+    }
+
+    /// Returns whether new callers are accepted: the host has routes and can check callers, its
+    /// registry sync goes on, and it is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let is_out_of_sync = self.is_out_of_sync.load(Ordering::Relaxed);
-        !is_out_of_sync && !self.is_stopping() && self.view.load().routes.is_some()
+        let view = self.view.load();
+        !is_out_of_sync
+            && !self.is_stopping()
+            && view.routes.is_some()
+            && self.can_check_callers(&view)
     }
 }
--- a/src/gateway/copy_proof.rs
+++ b/src/gateway/copy_proof.rs
@@ -94,7 +94,7 @@
                 Prover::Source => self.ask_source().await,
                 Prover::OtherHosts => self.ask_other_hosts().await,
             }
-            if !self.delay().is_zero() {
+            if self.is_recent() {
                 break;
             }
         }
@@ -118,6 +118,10 @@
         proof_renewal::renewal_delay(self.gateway.copy_age(), self.lifetime, rand::random())
     }
 
+    fn is_recent(&self) -> bool {
+        proof_renewal::is_recent(self.gateway.copy_age(), self.lifetime)
+    }
+
     async fn ask_registry(&mut self) {
         let Some(sent_at) = BootTime::now() else {
             return;
@@ -141,7 +145,7 @@
         let view = self.gateway.view();
         for lead in view.helpers.leads(&self.gateway.settings.id) {
             self.ask_host(lead, Prover::Lead).await;
-            if !self.delay().is_zero() {
+            if self.is_recent() {
                 return;
             }
         }
--- a/src/policy/proof_renewal.rs
+++ b/src/policy/proof_renewal.rs
@@ -8,9 +8,13 @@
 use std::time::Duration;
 
 /// Age at which a proof is renewed, as a share of the time after which it no longer counts. A host
-/// that is cut off then still has a proof for more than half of that time.
+/// that is cut off then still has a proof for more than half of that time, also after two hops.
 const RENEWAL_RATIO: f64 = 0.2;
 
+/// Oldest proof with which a host doesn't ask further hosts or the registry, as a share of the same
+/// time: that of a source whose own has passed a hop is younger.
+const RECENT_RATIO: f64 = 0.4;
+
 /// Share of that age by which hosts differ, so that their calls spread.
 const JITTER_RATIO: f64 = 0.2;
 
@@ -72,6 +76,12 @@
     age.map_or(Duration::ZERO, |age| due.saturating_sub(age))
 }
 
+/// Returns whether a host that has a proof of this age leaves it at that until the next attempt.
+#[must_use]
+pub fn is_recent(age: Option<Duration>, lifetime: Duration) -> bool {
+    age.is_some_and(|age| age <= lifetime.mul_f64(RECENT_RATIO))
+}
+
 /// Returns the time until the next attempt after one without a newer proof.
 #[must_use]
 pub fn retry_delay(lifetime: Duration, jitter: f64) -> Duration {
--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -268,6 +268,10 @@
     let renewed = proof_renewal::renewal_delay(Some(Duration::ZERO), LIFETIME, 0.0);
     let retried = proof_renewal::retry_delay(LIFETIME, 1.0);
     assert!((renewed + 2 * retried) < LIFETIME.mul_f64(0.4));
+    let oldest = renewed + retried;
+    assert!(proof_renewal::is_recent(Some(oldest), LIFETIME));
+    assert!(!proof_renewal::is_recent(None, LIFETIME));
+    assert!(!proof_renewal::is_recent(Some(LIFETIME / 2), LIFETIME));
     let due = Some(Duration::from_secs(1));
     assert!(proof_renewal::renewal_delay(due, LIFETIME, 1.0).is_zero());
     assert!(proof_renewal::renewal_delay(None, LIFETIME, 1.0).is_zero());
