Quotas: a copy that another host confirms keeps an allocator's part whole

Change: what another host answers to a host that the store turns away counts with the age of that host's copy, from the time of asking. Not measured yet.

--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -11,7 +11,6 @@
         view::{View, lock},
     },
     crate::{
-        clock::Millis,
         collections::{Map, Name},
         policy::quota::{self, PartFacts, Patience, Refusal},
         state::{
@@ -301,7 +300,7 @@
                 wait: Duration::ZERO,
             });
         };
-        let copy_age = self.registry_copy.sync_status(Millis::now()).age;
+        let copy_age = self.entries_age();
         let role_of = |hosts: &[HostPlace]| quota::role(organisation, &self.settings.id, hosts);
         let mut allocator = lock(&self.quotas.allocator);
         let tenure = allocator.tenure(role_of, quota::SETTLE_TIME, now)?;
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -394,6 +394,7 @@
         };
         let revision = self.registry_view.revision();
         let own = self.gateway.settings.peer_address;
+        let asked_at = Millis::now();
         match fleet::fetch_state(*peer, revision, Duration::ZERO, own).await {
             Ok(copy) if copy.revision > revision => {
                 info!(self.gateway.log, "registry_sync: received a copy of the registry from another host";
@@ -401,14 +402,20 @@
                     "entries" => copy.entries.get().len());
                 self.gateway.record_sync(Millis::now());
                 self.registry_view.set_reported_peers(&copy.peers);
+                let age = copy.sync_status.age;
                 let update = RegistryUpdate {
                     entries: copy.entries.get().to_vec(),
                     revision: copy.revision,
                 };
                 self.apply_entries(update, true).await;
+                self.gateway.record_confirmation(asked_at, age);
             }
             Ok(copy) => {
                 self.gateway.record_sync(Millis::now());
+                if copy.revision.continues(revision) {
+                    let age = copy.sync_status.age;
+                    self.gateway.record_confirmation(asked_at, age);
+                }
                 self.registry_view.set_reported_peers(&copy.peers);
             }
             Err(error) => {
