Rollouts: orders, trial of a new version, its driver and its stages

Cause: an operator's order to move a service to a version had no effect, and a leaf of a version that no order names got requests. Change: leaves' versions are decoded; a host that holds a lease in the registry drives the rollouts, judges the replies that all hosts report and writes each stage with its status in one conditional write. Off without bounds of exposure in the settings.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,6 +36,7 @@
 pub mod registry_view;
 pub mod relay;
 pub mod response;
+pub mod rollouts;
 pub mod serve;
 pub mod settings;
 pub mod subquery;
@@ -48,6 +49,7 @@
     leaf_reach::LeafReach,
     limits::LimitSharing,
     metrics::Metrics,
+    rollouts::RolloutSharing,
     settings::{HostSettings, QuotaRule, ReloadableSettings, RolloutRule},
     view::{LeafHandle, View},
 };
@@ -99,6 +101,8 @@
     pub limits: LimitSharing,
     /// Requests under which leaves ended.
     pub crashes: CrashRecords,
+    /// Rollouts that this host knows of or drives.
+    pub rollouts: RolloutSharing,
     /// Whether this host reaches leaves.
     pub leaf_reach: LeafReach,
     /// What the last renewal of this host's lease has shown about the registry.
@@ -131,6 +135,7 @@
         let metrics = Metrics::new()?;
         Ok(Self {
             reloadable: ArcSwap::from_pointee(ReloadableSettings::of(&settings)),
+            rollouts: RolloutSharing::new(settings.rollout_rule),
             settings,
             dialect,
             log,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Gateway,
+        rollouts::CountedAttempt,
         view::{InFlight, LeafHandle},
     },
     crate::{
@@ -149,11 +150,13 @@
     pub connections: usize,
     /// Whether the request may run more than once.
     pub repeats: Repeats,
+    /// The attempt as it is counted for a rollout.
+    pub counted: Option<CountedAttempt>,
 }
 
 impl Attempt {
     /// Sends the request until its deadline and returns the result.
-    pub async fn run(self, gateway: &Gateway) -> Outcome {
+    pub async fn run(mut self, gateway: &Gateway) -> Outcome {
         let dialect = &gateway.dialect;
         let mut waiting = gateway.leaf_reach.start_attempt(self.leaf.leaf.address);
         let in_flight = self.leaf.start_attempt(self.baseline.get(), Instant::now());
@@ -178,6 +181,9 @@
             waiting.record_reply();
         }
         self.record_outcome(dialect, &in_flight, &outcome);
+        if let Some(counted) = &mut self.counted {
+            counted.record_outcome(&outcome);
+        }
         outcome
     }
 
--- a/src/gateway/hedged_request.rs
+++ b/src/gateway/hedged_request.rs
@@ -375,6 +375,9 @@
             baseline: Arc::clone(&self.baseline),
             connections: self.view.connections(&leaf.leaf.service),
             repeats: self.route.repeats,
+            counted: self
+                .gateway
+                .count_attempt(&leaf, &self.route.name, self.baseline.get()),
         };
         let rate = self.view.cold_rate(&leaf.leaf.service);
         leaf.record_warmup_attempt(rate, self.view.hosts, now);
--- a/src/gateway/hedged_request/leaf_choice.rs
+++ b/src/gateway/hedged_request/leaf_choice.rs
@@ -9,6 +9,7 @@
         },
         policy::leaf_selection,
         protocol::verdict::{Cause, Failure},
+        state::rollouts::Selection,
     },
     std::{sync::Arc, time::Instant},
 };
@@ -32,10 +33,43 @@
     /// its rate limit. Returns why there is none.
     pub(super) fn choose_leaf(&self, index: usize, now: Instant) -> Result<Arc<LeafHandle>, Cause> {
         let service = &self.services[index];
+        let selection = self.gateway.select_versions(service.name());
+        if let Some(leaf) = self.choose_on_trial(index, selection.as_ref(), now) {
+            return Ok(leaf);
+        }
         let mut leaves: Vec<&Arc<LeafHandle>> = service.untried_leaves().collect();
+        retain_permitted(&mut leaves, service.leaves(), selection.as_ref());
         if leaves.is_empty() && service.pending.is_empty() {
             leaves = service.leaves().iter().collect();
+            retain_permitted(&mut leaves, service.leaves(), selection.as_ref());
+        }
+        self.choose_among(index, leaves, now)
+    }
+
+    /// Chooses a leaf of the version on trial for some of the first attempts.
+    fn choose_on_trial(
+        &self,
+        index: usize,
+        selection: Option<&Selection>,
+        now: Instant,
+    ) -> Option<Arc<LeafHandle>> {
+        let service = &self.services[index];
+        if service.first_start.is_some() {
+            return None;
         }
+        let version = selection?.trial_version(rand::random())?;
+        let leaves = service.leaves().iter();
+        let leaves = leaves.filter(|leaf| leaf.leaf.version == *version);
+        self.choose_among(index, leaves.collect(), now).ok()
+    }
+
+    fn choose_among(
+        &self,
+        index: usize,
+        mut leaves: Vec<&Arc<LeafHandle>>,
+        now: Instant,
+    ) -> Result<Arc<LeafHandle>, Cause> {
+        let service = &self.services[index];
         let rate = self.view.cold_rate(service.name());
         leaves.retain(|leaf| leaf.is_allowed(rate, now));
         let near = &self.gateway.settings.domain;
@@ -60,3 +94,16 @@
         Err(cause)
     }
 }
+
+/// Keeps those of `leaves` whose version may get requests; `all` are the usable leaves of the
+/// service.
+fn retain_permitted(
+    leaves: &mut Vec<&Arc<LeafHandle>>,
+    all: &[Arc<LeafHandle>],
+    selection: Option<&Selection>,
+) {
+    let Some(selection) = selection else { return };
+    let target = selection.target();
+    let has_target = all.iter().any(|leaf| Some(&leaf.leaf.version) == target);
+    leaves.retain(|leaf| selection.permits(&leaf.leaf.version, has_target));
+}
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -9,12 +9,17 @@
         registration::{self, OwnEntry},
         registry_sync::RegistrySync,
         relay::RelayServer,
+        rollouts::{self, RolloutServer},
         subquery::SubqueryServer,
     },
     crate::{
         clock::millis,
         protocol::dialect::Dialect,
-        transport::{connection::End, fleet, registry::Registry},
+        transport::{
+            connection::End,
+            fleet::{self, FleetService},
+            registry::Registry,
+        },
     },
     eyre::{Result, WrapErr},
     slog::{Logger, error, info},
@@ -108,6 +113,7 @@
             Arc::clone(&gateway),
             tasks_stop.clone(),
         ));
+        rollouts::start(&gateway, &registry, &tasks_stop);
         let registration = tokio::spawn(registration::keep_registered(
             Arc::clone(&gateway),
             registry,
@@ -193,20 +199,15 @@
 
 /// Serves other entry hosts until `stop`.
 async fn serve_peers(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
-    let subqueries = SubqueryServer(Arc::clone(&gateway));
-    let limits = LimitServer(Arc::clone(&gateway));
-    let relays = RelayServer(Arc::clone(&gateway));
-    let registry_copy = gateway.registry_copy.clone();
-    let organisations = OrganisationServer(Arc::clone(&gateway));
-    let served = fleet::serve(
-        listener,
-        registry_copy,
-        subqueries,
-        limits,
-        relays,
-        organisations,
-        stop,
-    );
+    let service = FleetService {
+        registry_copy: gateway.registry_copy.clone(),
+        subqueries: SubqueryServer(Arc::clone(&gateway)),
+        limits: LimitServer(Arc::clone(&gateway)),
+        relays: RelayServer(Arc::clone(&gateway)),
+        organisations: OrganisationServer(Arc::clone(&gateway)),
+        rollouts: RolloutServer(Arc::clone(&gateway)),
+    };
+    let served = fleet::serve(listener, service, stop);
     if let Err(error) = served.await {
         error!(gateway.log, "host: server for other entry hosts failed"; "error" => %error);
     }
--- a/src/gateway/registry_sync.rs
+++ b/src/gateway/registry_sync.rs
@@ -327,6 +327,8 @@
         if is_full || !crash_changes.is_empty() {
             gateway.apply_crash_changes(crash_changes, copy);
         }
+        let rollout_changes = std::mem::take(&mut changes.rollout_changes);
+        gateway.apply_rollout_changes(rollout_changes, is_full);
         let is_changed = self
             .registry_view
             .apply_changes(gateway, changes, is_full, now);
--- a/src/gateway/registry_view.rs
+++ b/src/gateway/registry_view.rs
@@ -163,6 +163,7 @@
             &gateway.settings.id,
             Instant::now(),
         ));
+        gateway.record_versions(self.roster.usable());
         let leaves = self.usable_leaves(gateway);
         let mut route_stats = Map::default();
         for route in self.routes.iter().flat_map(|routes| routes.routes()) {
@@ -213,7 +214,7 @@
             let known = known.filter(|known| known.leaf.is_same_start(leaf));
             let handle = known.cloned().unwrap_or_else(|| {
                 info!(gateway.log, "registry_sync: leaf is usable"; "leaf" => &*leaf.id,
-                    "service" => &*leaf.service, "address" => %leaf.address);
+                    "service" => &*leaf.service, "version" => &*leaf.version, "address" => %leaf.address);
                 Arc::new(LeafHandle::new(leaf.clone()))
             });
             handle.record_warmup(leaf.warmup_left, Instant::now());
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,6 +12,7 @@
 pub mod relaying;
 pub mod response_timing;
 pub mod retry;
+pub mod rollout;
 pub mod shutdown;
 pub mod sync_source;
 pub mod traffic_split;
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
 pub mod rejections;
 pub mod relative_latency;
 pub mod revision;
+pub mod rollout_reports;
+pub mod rollouts;
 pub mod roster;
 pub mod routes;
 pub mod suspects;
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -38,6 +38,8 @@
     pub id: Name,
     /// Service that it belongs to.
     pub service: Name,
+    /// Version of its software; empty when its entry states none.
+    pub version: Name,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Failure domain that it runs in.
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -9,7 +9,8 @@
         protocol::generated::{
             ChangedEntry, FollowRequest, GatherRequest, GatheredParts, LimitsReply, LimitsRequest,
             ProofReply, ProofRequest, QuotaReply, QuotaRequest, RelayReply, RelayRequest,
-            SnapshotReply, SnapshotRequest, Update as WireUpdate,
+            RolloutReply, RolloutReport as WireReport, SnapshotReply, SnapshotRequest,
+            Update as WireUpdate,
             fleet_client::FleetClient,
             fleet_server::{Fleet, FleetServer},
         },
@@ -39,6 +40,7 @@
 mod organisations;
 mod registry_copy;
 mod relay;
+mod rollouts;
 mod subquery;
 
 pub use self::{
@@ -50,6 +52,7 @@
         ChangeBatch, FollowerGuard, MissingChanges, RegistryCopy, RegistryState, SyncStatus,
     },
     relay::{RelayService, RelayedRequest, RelayedResponse},
+    rollouts::{RolloutReport, RolloutService},
     subquery::{LostShard, PartialResult, Subquery, SubqueryService},
 };
 
@@ -122,20 +125,30 @@
     }
 }
 
-/// Server side of the service: this host's registry copy, what runs subqueries, what allocates
-/// the rate limits of leaves, what handles requests for other hosts, and what answers about
-/// organisations.
-struct FleetService<P, L, R, O> {
-    registry_copy: RegistryCopy,
-    subqueries: P,
-    limits: L,
-    relays: R,
-    organisations: O,
+/// What serves the calls of other hosts.
+pub struct FleetService<P, L, R, O, V> {
+    /// This host's registry copy.
+    pub registry_copy: RegistryCopy,
+    /// Runs subqueries.
+    pub subqueries: P,
+    /// Allocates the rate limits of leaves.
+    pub limits: L,
+    /// Handles requests for hosts that can't reach leaves.
+    pub relays: R,
+    /// Answers about organisations.
+    pub organisations: O,
+    /// Drives rollouts.
+    pub rollouts: V,
 }
 
 #[tonic::async_trait]
-impl<P: SubqueryService, L: LimitService, R: RelayService, O: OrganisationService> Fleet
-    for FleetService<P, L, R, O>
+impl<P, L, R, O, V> Fleet for FleetService<P, L, R, O, V>
+where
+    P: SubqueryService,
+    L: LimitService,
+    R: RelayService,
+    O: OrganisationService,
+    V: RolloutService,
 {
     type FollowStream = BoxStream<'static, Result<WireUpdate, Status>>;
     type GatherStream = BoxStream<'static, Result<GatheredParts, Status>>;
@@ -249,6 +262,15 @@
         Ok(Response::new(organisations::encode_grants(&grants)))
     }
 
+    async fn report_rollouts(
+        &self,
+        request: Request<WireReport>,
+    ) -> Result<Response<RolloutReply>, Status> {
+        let report = rollouts::decode_report(request.into_inner());
+        let directives = self.rollouts.record_report(report);
+        Ok(Response::new(rollouts::encode_directives(directives)))
+    }
+
     async fn share_limits(
         &self,
         request: Request<LimitsRequest>,
@@ -326,29 +348,24 @@
     Ok(entries.collect())
 }
 
-/// Serves the registry copy to other hosts, runs subqueries for them, allocates the rate limits
-/// of leaves, handles requests for hosts that can't reach leaves and answers about organisations,
-/// until `stop`.
+/// Serves the calls of other hosts until `stop`.
 ///
 /// # Errors
 ///
 /// Fails when the server ends before `stop`.
-pub async fn serve(
+pub async fn serve<P, L, R, O, V>(
     listener: TcpListener,
-    registry_copy: RegistryCopy,
-    subqueries: impl SubqueryService,
-    limits: impl LimitService,
-    relays: impl RelayService,
-    organisations: impl OrganisationService,
+    service: FleetService<P, L, R, O, V>,
     stop: CancellationToken,
-) -> Result<(), tonic::transport::Error> {
-    let service = FleetServer::new(FleetService {
-        registry_copy,
-        subqueries,
-        limits,
-        relays,
-        organisations,
-    });
+) -> Result<(), tonic::transport::Error>
+where
+    P: SubqueryService,
+    L: LimitService,
+    R: RelayService,
+    O: OrganisationService,
+    V: RolloutService,
+{
+    let service = FleetServer::new(service);
     let service = service
         .max_encoding_message_size(MAX_MESSAGE_BYTES)
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
--- a/src/transport/fleet/channel.rs
+++ b/src/transport/fleet/channel.rs
@@ -6,6 +6,7 @@
         MAX_MESSAGE_BYTES, REPLY_TIMEOUT, limits,
         organisations::{self, CopyProof, QuotaClaim, QuotaGrant},
         relay::{RelayedRequest, RelayedResponse},
+        rollouts::{self, RolloutReport},
         subquery::{PartialResult, Subquery},
     },
     crate::{
@@ -13,7 +14,7 @@
         protocol::generated::{
             GatherRequest, ProofRequest, RelayReply, RelayRequest, fleet_client::FleetClient,
         },
-        state::{leaf_limit::Share, rate_allocator::Claim},
+        state::{leaf_limit::Share, rate_allocator::Claim, rollouts::Directive},
         transport::leaf::enable_keepalive,
     },
     futures_util::{StreamExt, stream::BoxStream},
@@ -207,6 +208,26 @@
         }
     }
 
+    /// Reports to the host, which drives rollouts, and returns what this host is to do; `None`
+    /// when the host does not drive rollouts.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not reply.
+    pub async fn report_rollouts(
+        &self,
+        report: RolloutReport,
+    ) -> Result<Option<Vec<Directive>>, String> {
+        let mut client = self.open_client().await?;
+        match client
+            .report_rollouts(rollouts::encode_report(report))
+            .await
+        {
+            Ok(response) => Ok(rollouts::decode_directives(response.into_inner())),
+            Err(status) => Err(status.message().to_owned()),
+        }
+    }
+
     /// Returns a client on an open connection, and connects when there is none.
     async fn open_client(&self) -> Result<FleetClient<SenderService>, String> {
         let sender = self.open_sender().await;
--- a/src/transport/registry.rs
+++ b/src/transport/registry.rs
@@ -6,6 +6,7 @@
         collections::Name,
         state::{
             revision::{Lease, Revision},
+            rollouts::{Driver, RolloutChange, Stage},
             roster::{Member, RosterChange},
             routes::RouteTable,
             suspects::{CrashChange, Reports},
@@ -42,6 +43,8 @@
     pub roster_changes: Vec<RosterChange>,
     /// Reports of leaves that ended under a request, in order.
     pub crash_changes: Vec<CrashChange>,
+    /// Changes of rollouts, in order.
+    pub rollout_changes: Vec<RolloutChange>,
     /// Key and reason of each entry that can't be decoded.
     pub unreadable: Vec<String>,
 }
@@ -52,6 +55,7 @@
         self.routes = later.routes.or(self.routes.take());
         self.roster_changes.extend(later.roster_changes);
         self.crash_changes.extend(later.crash_changes);
+        self.rollout_changes.extend(later.rollout_changes);
         self.unreadable.extend(later.unreadable);
     }
 }
@@ -97,6 +101,36 @@
 
 impl std::error::Error for RegistryError {}
 
+/// The result of a write that depends on what the registry has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConditionalWrite {
+    /// It was made.
+    Written {
+        /// Revision of the written entries.
+        revision: u64,
+        /// Era of the registry.
+        era: u64,
+    },
+    /// It was not made: the registry has other entries.
+    Conflict {
+        /// The driver of rollouts, with the revision of its entry.
+        driver: Option<(Driver, u64)>,
+        /// The stage that was to be replaced, with the revision of its entry.
+        stage: Option<(Stage, u64)>,
+    },
+}
+
+/// A write of the driver of rollouts.
+#[derive(Clone, Copy, Debug)]
+pub struct StageWrite<'a> {
+    /// The stage, from which the status that operators read follows.
+    pub stage: &'a Stage,
+    /// Revision of the driver's entry.
+    pub claim: u64,
+    /// Revision of the stage's entry that this one replaces; 0 if there is none.
+    pub replaces: u64,
+}
+
 /// The calls that an entry host makes to the registry.
 pub trait Registry: Send + Sync + 'static {
     /// Decodes entries.
@@ -150,4 +184,24 @@
 
     /// Renews the lease with the id of `lease`; returns the era of the registry.
     fn renew(&self, lease: Lease) -> impl Future<Output = Result<u64, RegistryError>> + Send;
+
+    /// Makes a host the driver of rollouts, under its lease, if there is none. A call without a
+    /// reply may take effect later.
+    fn claim_rollouts(
+        &self,
+        driver: &Driver,
+    ) -> impl Future<Output = Result<ConditionalWrite, RegistryError>> + Send;
+
+    /// Ends the claim of the driver whose entry has the revision `claim`.
+    fn release_rollouts(
+        &self,
+        claim: u64,
+    ) -> impl Future<Output = Result<ConditionalWrite, RegistryError>> + Send;
+
+    /// Writes the stage of a rollout and its status, if the driver and the stage before are still
+    /// those that the write names. A call without a reply may take effect later if they are.
+    fn write_stage(
+        &self,
+        write: StageWrite<'_>,
+    ) -> impl Future<Output = Result<ConditionalWrite, RegistryError>> + Send;
 }
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -303,6 +303,7 @@
     let leaf = Leaf {
         id: "leaf".into(),
         service: "lecturas".into(),
+        version: Name::default(),
         address: ([10, 1, 64, 7], 8_080).into(),
         domain: "north".into(),
         slots: 2,
--- a/tests/testsuite/roster.rs
+++ b/tests/testsuite/roster.rs
@@ -14,6 +14,7 @@
     Leaf {
         id: id.into(),
         service: "lecturas".into(),
+        version: Name::default(),
         address: ([10, 1, 64, 7], 8_080).into(),
         domain: "xela-centro".into(),
         slots: 2,
