--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -24,7 +24,7 @@
 const TRIAL_SAMPLES: f64 = 120.0;
 
 /// Time from an order until hosts know of it, and for the last write.
-const NOTICE_TIME: Duration = Duration::from_millis(700);
+const NOTICE_TIME: Duration = Duration::from_secs(1);
 
 /// Share of a rollout's time that is kept free at its end, and its most.
 const SPARE_RATIO: f64 = 0.03;
@@ -36,7 +36,7 @@
 const MIN_FULL_TIME: Duration = Duration::from_secs(3);
 
 /// Time for which the new version has all requests at least.
-const MIN_FULL_CHECK: Duration = Duration::from_secs(1);
+const MIN_FULL_CHECK: Duration = Duration::from_millis(1_500);
 
 /// Time after the end of the rollout's time in which it may still complete.
 const OVERTIME: Duration = Duration::from_secs(5);
@@ -149,7 +149,9 @@
 
 fn decide_full(facts: &RolloutFacts, full_for: Duration) -> Step {
     if facts.is_moved && full_for >= MIN_FULL_CHECK && facts.has_target {
-        Step::Complete
+        let recent = facts.routes.iter().map(RouteReplies::recent);
+        let fault = recent.filter_map(|recent| find_late_fault(&recent)).next();
+        fault.map_or(Step::Complete, Step::RollBack)
     } else if facts.elapsed > facts.time + OVERTIME {
         Step::RollBack(Fault::Unmoved)
     } else {
@@ -220,8 +222,8 @@
     exceeds(target.bad(), bad, 3.0).then_some(Fault::Slowness)
 }
 
-/// Returns what is wrong with the new version on a route at the end of its trial: the replies are
-/// judged once more, and few may have to do.
+/// Returns what is wrong with the new version on a route at the end of its trial, and before the
+/// former one is given up: the replies are judged once, and few may have to do.
 fn find_late_fault(route: &RouteReplies) -> Option<Fault> {
     let rate = |bad: u64, tally: &Tally| as_f64(bad) / as_f64(tally.replies).max(1.0);
     let (target, former) = (&route.target, &route.former);
--- a/src/state/rollouts.rs
+++ b/src/state/rollouts.rs
@@ -182,6 +182,17 @@
     pub recent_former: Tally,
 }
 
+impl RouteReplies {
+    /// Returns the last replies of the new version beside all of the former one.
+    #[must_use]
+    pub fn recent(&self) -> Self {
+        Self {
+            target: self.recent_target,
+            ..*self
+        }
+    }
+}
+
 /// Which of a service's leaves may get a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Selection {
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -12,14 +12,16 @@
             leaf_limit::Share,
             rate_allocator::Claim,
             revision::Revision,
+            rollouts::Directive,
             roster::{Leaf, Member, Phase, Roster, RosterChange, SUSPECT_PERIOD},
         },
         transport::{
             fleet::{
-                self, ChangeBatch, CopyProof, EncodedEntries, LimitService, MissingChanges,
-                OrganisationService, PartialResult, QuotaClaim, QuotaGrant, RegistryCopy,
-                RegistryState, RelayService, RelayedRequest, RelayedResponse, Subquery,
-                SubqueryService, SyncStatus, WireEntries, unpack,
+                self, ChangeBatch, CopyProof, EncodedEntries, FleetService, LimitService,
+                MissingChanges, OrganisationService, PartialResult, QuotaClaim, QuotaGrant,
+                RegistryCopy, RegistryState, RelayService, RelayedRequest, RelayedResponse,
+                RolloutReport, RolloutService, Subquery, SubqueryService, SyncStatus, WireEntries,
+                unpack,
             },
             registry::Entry,
         },
@@ -343,6 +345,12 @@
     }
 }
 
+impl RolloutService for Idle {
+    fn record_report(&self, _: RolloutReport) -> Option<Vec<Directive>> {
+        None
+    }
+}
+
 impl LimitService for Idle {
     fn share_limits(&self, _: &Name, _: Vec<Claim>) -> Vec<Share> {
         Vec::new()
@@ -428,11 +436,14 @@
     let stop = CancellationToken::new();
     tokio::spawn(fleet::serve(
         listener,
-        copy.clone(),
-        Idle,
-        Idle,
-        Idle,
-        Idle,
+        FleetService {
+            registry_copy: copy.clone(),
+            subqueries: Idle,
+            limits: Idle,
+            relays: Idle,
+            organisations: Idle,
+            rollouts: Idle,
+        },
         stop.clone(),
     ));
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod planned_stops;
 mod policy;
 mod processes;
+mod rollouts;
 mod roster;
 mod settings;
 mod snapshots;
--- a/tests/testsuite/roster.rs
+++ b/tests/testsuite/roster.rs
@@ -3,6 +3,7 @@
 use {
     briarquay::{
         clock::Millis,
+        collections::Name,
         state::roster::{Leaf, Member, Phase, Roster, RosterChange, SUSPECT_PERIOD},
     },
     std::time::Duration,
