--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -48,9 +48,19 @@
 /// Replies that the former version is assumed to have besides those that are known.
 const PRIOR_REPLIES: f64 = 20.0;
 
-/// Standard deviations by which bad replies must exceed what is expected, since the replies are
-/// judged many times.
-const DEVIATIONS: f64 = 3.0;
+/// For replies that are judged again and again.
+const REPEATED: Strictness = Strictness {
+    deviations: 3.0,
+    failures: 2.0,
+    bad: 3.0,
+};
+
+/// For replies that are judged once.
+const ONCE: Strictness = Strictness {
+    deviations: 2.5,
+    failures: 1.0,
+    bad: 1.5,
+};
 
 /// What the decision about a rollout rests on.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -200,11 +210,21 @@
     routes.iter().chain([&total]).find_map(|route| {
         let usual = [route.former, route.former];
         let recent = [route.former, route.recent_former];
-        judge(route.target, usual).or_else(|| judge(route.recent_target, recent))
+        judge(route.target, usual, REPEATED)
+            .or_else(|| judge(route.recent_target, recent, REPEATED))
     })
 }
 
-fn judge(target: Tally, former: [Tally; 2]) -> Option<Fault> {
+/// How far bad replies must exceed what is expected of them.
+#[derive(Clone, Copy)]
+struct Strictness {
+    deviations: f64,
+    /// Failures, and bad replies, besides.
+    failures: f64,
+    bad: f64,
+}
+
+fn judge(target: Tally, former: [Tally; 2], strictness: Strictness) -> Option<Fault> {
     let expect = |bad: fn(&Tally) -> u64, prior: f64, floor: f64| {
         let rates = former.iter().map(|tally| {
             (as_f64(bad(tally)) + prior) / (as_f64(tally.replies) + PRIOR_REPLIES) + floor
@@ -212,28 +232,20 @@
         rates.fold(0.0, f64::max) * as_f64(target.replies)
     };
     let exceeds = |bad: u64, expected: f64, least: f64| {
-        as_f64(bad) > expected + DEVIATIONS * expected.sqrt() + least
+        as_f64(bad) > expected + strictness.deviations * expected.sqrt() + least
     };
     let failures = expect(|tally| tally.failed, 0.2, FAILURE_FLOOR);
-    if exceeds(target.failed, failures, 2.0) {
+    if exceeds(target.failed, failures, strictness.failures) {
         return Some(Fault::Failures);
     }
     let bad = expect(Tally::bad, 1.0, BAD_FLOOR);
-    exceeds(target.bad(), bad, 3.0).then_some(Fault::Slowness)
+    exceeds(target.bad(), bad, strictness.bad).then_some(Fault::Slowness)
 }
 
 /// Returns what is wrong with the new version on a route at the end of its trial, and before the
 /// former one is given up: the replies are judged once, and few may have to do.
 fn find_late_fault(route: &RouteReplies) -> Option<Fault> {
-    let rate = |bad: u64, tally: &Tally| as_f64(bad) / as_f64(tally.replies).max(1.0);
-    let (target, former) = (&route.target, &route.former);
-    let failed = rate(target.failed, target);
-    if target.failed >= 2 && failed > 2.0 * rate(former.failed, former) + 0.04 {
-        return Some(Fault::Failures);
-    }
-    let bad = rate(target.bad(), target);
-    let is_slow = target.bad() >= 3 && bad > 2.0 * rate(former.bad(), former) + 0.08;
-    is_slow.then_some(Fault::Slowness)
+    judge(route.target, [route.former; 2], ONCE)
 }
 
 #[expect(clippy::cast_precision_loss, reason = "counts of a rollout are small")]
