--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -159,8 +159,8 @@
 
 fn decide_full(facts: &RolloutFacts, full_for: Duration) -> Step {
     if facts.is_moved && full_for >= MIN_FULL_CHECK && facts.has_target {
-        let recent = facts.routes.iter().map(RouteReplies::recent);
-        let fault = recent.filter_map(|recent| find_late_fault(&recent)).next();
+        let mut recent = facts.routes.iter().map(RouteReplies::recent);
+        let fault = recent.find_map(|recent| find_late_fault(&recent));
         fault.map_or(Step::Complete, Step::RollBack)
     } else if facts.elapsed > facts.time + OVERTIME {
         Step::RollBack(Fault::Unmoved)
--- a/src/state/rollouts.rs
+++ b/src/state/rollouts.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        clock::Millis,
+        clock::{Millis, millis},
         collections::{Map, Name, Set, hash},
     },
     std::time::Duration,
@@ -37,7 +37,7 @@
     /// Returns the number by which hosts recognise the order.
     #[must_use]
     pub fn id(&self) -> u64 {
-        hash(&self.target, hash(&self.service, self.time.as_secs()))
+        hash(&self.target, hash(&self.service, millis(self.time)))
     }
 }
 
@@ -472,19 +472,17 @@
     /// Returns the first stage of the order of `service`, by what served it before.
     #[must_use]
     pub fn first_stage(&self, order: &Order, started_ms: u64) -> Stage {
-        let before = self.stages.get(&order.service);
-        let mut former = match before {
+        let mut former = match self.stages.get(&order.service) {
             Some(before) if before.phase == Phase::Completed => vec![before.target.clone()],
             Some(before) => before.former.clone(),
-            None => Vec::new(),
+            None => {
+                let versions = self.versions.get(&order.service);
+                let serving = versions.into_iter().flat_map(|versions| &versions.serving);
+                let mut serving: Vec<Name> = serving.cloned().collect();
+                serving.sort_unstable();
+                serving
+            }
         };
-        if former.is_empty() {
-            let serving = self.versions.get(&order.service);
-            former = serving.map_or_else(Vec::new, |versions| {
-                versions.serving.iter().cloned().collect()
-            });
-            former.sort_unstable();
-        }
         former.retain(|version| *version != order.target);
         Stage {
             service: order.service.clone(),
--- a/tests/testsuite/rollouts.rs
+++ b/tests/testsuite/rollouts.rs
@@ -300,7 +300,7 @@
         let fleet: Vec<Name> = (0..HOSTS)
             .map(|host| name(&format!("host-{host}")))
             .collect();
-        if self.now % 250 == 0 {
+        if self.now.is_multiple_of(250) {
             self.driving.decide(&Round {
                 rollouts: &self.hosts[driver].rollouts,
                 rule: &RULE,
@@ -560,6 +560,55 @@
     assert_eq!(rollouts.open_orders(), vec![next]);
 }
 
+#[test]
+fn repeated_order_for_a_version_that_serves_moves_nothing() {
+    let mut rollouts = staged(Phase::Completed);
+    let again = Order {
+        time: TIME * 2,
+        ..order()
+    };
+    let changes = vec![RolloutChange::Ordered(again.clone())];
+    rollouts.apply_changes(changes, false, Millis(2_000));
+
+    let first = rollouts.first_stage(&again, 1);
+    assert!(first.former.is_empty(), "the former version has ended");
+    rollouts.merge_stage(first);
+    assert!(permits(&rollouts, "v2", Duration::ZERO));
+}
+
+#[test]
+fn stage_that_a_restored_registry_lacks_is_written_again() {
+    let mut rollouts = staged(Phase::Completed);
+    let driver = Driver {
+        host: name("host-1"),
+        lease: 1,
+    };
+    assert!(rollouts.open_orders().is_empty());
+    let restored = vec![
+        RolloutChange::Ordered(order()),
+        RolloutChange::Driver(driver),
+    ];
+    rollouts.apply_changes(restored, true, Millis(5_000));
+
+    let mut driving = Driving::default();
+    driving.set_claim(Claim {
+        revision: 9,
+        valid_until: Millis(8_000),
+    });
+    driving.decide(&Round {
+        rollouts: &rollouts,
+        rule: &RULE,
+        fleet: &[],
+        now: Millis(6_000),
+        unix_ms: 1,
+    });
+
+    let write = driving.next_write(Millis(6_000)).expect("a write");
+    assert_eq!(write.stage.phase, Phase::Completed);
+    assert!(permits(&rollouts, "v2", Duration::ZERO));
+    assert!(!permits(&rollouts, "v1", Duration::ZERO));
+}
+
 #[test]
 fn version_that_no_order_names_waits_beside_one_that_serves_and_replaces_it() {
     let mut rollouts = Rollouts::default();
