--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -42,6 +42,7 @@
 pub mod registry_view;
 pub mod relay;
 pub mod response;
+pub mod rollouts;
 pub mod serve;
 pub mod settings;
 pub mod subquery;
@@ -56,6 +57,7 @@
     metrics::Metrics,
     placement::PlacementState,
     quotas::Quotas,
+    rollouts::RolloutSharing,
     settings::{HostSettings, ReloadableSettings, RolloutRule},
     view::{LeafHandle, View},
 };
@@ -117,6 +119,8 @@
     pub crashes: CrashRecords,
     /// Places at leaves that this host gives out, and hosts that gave none.
     pub placement: PlacementState,
+    /// Rollouts that this host knows of or drives.
+    pub rollouts: RolloutSharing,
     /// Whether this host reaches leaves.
     pub leaf_reach: LeafReach,
     /// What the last renewal of this host's lease has shown about the registry.
@@ -153,6 +157,7 @@
         let metrics = Metrics::new()?;
         Ok(Self {
             reloadable: ArcSwap::from_pointee(ReloadableSettings::of(&settings)),
+            rollouts: RolloutSharing::new(settings.rollout_rule),
             settings,
             dialect,
             log,
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -10,6 +10,7 @@
         registration::{self, OwnEntry},
         registry_sync::RegistrySync,
         relay::RelayServer,
+        rollouts::{self, RolloutServer},
         subquery::SubqueryServer,
     },
     crate::{
@@ -118,6 +119,7 @@
             Arc::clone(&registry),
             tasks_stop.clone(),
         ));
+        rollouts::start(&gateway, &registry, &tasks_stop);
         let registration = tokio::spawn(registration::keep_registered(
             Arc::clone(&gateway),
             registry,
@@ -216,6 +218,7 @@
         relays: RelayServer(Arc::clone(&gateway)),
         organisations: OrganisationServer(Arc::clone(&gateway)),
         placements: PlacementServer(Arc::clone(&gateway)),
+        rollouts: RolloutServer(Arc::clone(&gateway)),
     };
     let served = fleet::serve(listener, service, stop);
     if let Err(error) = served.await {
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -10,7 +10,8 @@
             ChangedEntry, FollowRequest, GatherRequest, GatheredParts, LimitsReply, LimitsRequest,
             PlacementEnd as WirePlacementEnd, PlacementEnded, PlacementReply, PlacementRequest,
             ProofReply, ProofRequest, QuotaReply, QuotaRequest, RelayReply, RelayRequest,
-            SnapshotReply, SnapshotRequest, Update as WireUpdate,
+            RolloutReply, RolloutReport as WireReport, SnapshotReply, SnapshotRequest,
+            Update as WireUpdate,
             fleet_client::FleetClient,
             fleet_server::{Fleet, FleetServer},
         },
@@ -41,6 +42,7 @@
 mod placement;
 mod registry_copy;
 mod relay;
+mod rollouts;
 mod subquery;
 
 pub use self::{
@@ -53,6 +55,7 @@
         ChangeBatch, FollowerGuard, MissingChanges, RegistryCopy, RegistryState, SyncStatus,
     },
     relay::{RelayService, RelayedRequest, RelayedResponse},
+    rollouts::{RolloutReport, RolloutService},
     subquery::{LostShard, PartialResult, Subquery, SubqueryService},
 };
 
@@ -126,7 +129,7 @@
 }
 
 /// What serves the calls of other hosts.
-pub struct FleetService<P, L, R, O, Q> {
+pub struct FleetService<P, L, R, O, Q, V> {
     /// This host's registry copy.
     pub registry_copy: RegistryCopy,
     /// Runs subqueries.
@@ -139,16 +142,19 @@
     pub organisations: O,
     /// Gives out places at leaves.
     pub placements: Q,
+    /// Drives rollouts.
+    pub rollouts: V,
 }
 
 #[tonic::async_trait]
-impl<P, L, R, O, Q> Fleet for FleetService<P, L, R, O, Q>
+impl<P, L, R, O, Q, V> Fleet for FleetService<P, L, R, O, Q, V>
 where
     P: SubqueryService,
     L: LimitService,
     R: RelayService,
     O: OrganisationService,
     Q: PlacementService,
+    V: RolloutService,
 {
     type FollowStream = BoxStream<'static, Result<WireUpdate, Status>>;
     type GatherStream = BoxStream<'static, Result<GatheredParts, Status>>;
@@ -281,6 +287,15 @@
         Ok(Response::new(PlacementEnded {}))
     }
 
+    async fn report_rollouts(
+        &self,
+        request: Request<WireReport>,
+    ) -> Result<Response<RolloutReply>, Status> {
+        let report = rollouts::decode_report(request.into_inner());
+        let directives = self.rollouts.record_report(report);
+        Ok(Response::new(rollouts::encode_directives(directives)))
+    }
+
     async fn share_limits(
         &self,
         request: Request<LimitsRequest>,
@@ -363,9 +378,9 @@
 /// # Errors
 ///
 /// Fails when the server ends before `stop`.
-pub async fn serve<P, L, R, O, Q>(
+pub async fn serve<P, L, R, O, Q, V>(
     listener: TcpListener,
-    service: FleetService<P, L, R, O, Q>,
+    service: FleetService<P, L, R, O, Q, V>,
     stop: CancellationToken,
 ) -> Result<(), tonic::transport::Error>
 where
@@ -374,6 +389,7 @@
     R: RelayService,
     O: OrganisationService,
     Q: PlacementService,
+    V: RolloutService,
 {
     let service = FleetServer::new(service);
     let service = service
--- a/src/transport/fleet/channel.rs
+++ b/src/transport/fleet/channel.rs
@@ -7,6 +7,7 @@
         organisations::{self, CopyProof, QuotaClaim, QuotaGrant},
         placement::{PlacementCall, PlacementEnd},
         relay::{RelayedRequest, RelayedResponse},
+        rollouts::{self, RolloutReport},
         subquery::{PartialResult, Subquery},
     },
     crate::{
@@ -15,7 +16,9 @@
             GatherRequest, PlacementEnd as WirePlacementEnd, PlacementReply, PlacementRequest,
             ProofRequest, RelayReply, RelayRequest, fleet_client::FleetClient,
         },
-        state::{leaf_limit::Share, placements::Decision, rate_allocator::Claim},
+        state::{
+            leaf_limit::Share, placements::Decision, rate_allocator::Claim, rollouts::Directive,
+        },
         transport::leaf::enable_keepalive,
     },
     futures_util::{StreamExt, stream::BoxStream},
@@ -254,6 +257,26 @@
         }
     }
 
+    /// Reports to the host, which drives rollouts, and returns what this host is to do; `None`
+    /// when the host does not drive rollouts.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not reply.
+    pub async fn report_rollouts(
+        &self,
+        report: RolloutReport,
+    ) -> Result<Option<Vec<Directive>>, String> {
+        let mut client = self.open_client().await?;
+        match client
+            .report_rollouts(rollouts::encode_report(report))
+            .await
+        {
+            Ok(response) => Ok(rollouts::decode_directives(response.into_inner())),
+            Err(status) => Err(status.message().to_owned()),
+        }
+    }
+
     /// Returns a client on an open connection, and connects when there is none.
     async fn open_client(&self) -> Result<FleetClient<SenderService>, String> {
         let sender = self.open_sender().await;
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -13,6 +13,7 @@
             placements::Decision,
             rate_allocator::Claim,
             revision::Revision,
+            rollouts::Directive,
             roster::{Leaf, Member, Phase, Roster, RosterChange, SUSPECT_PERIOD},
         },
         transport::{
@@ -20,8 +21,8 @@
                 self, ChangeBatch, CopyProof, EncodedEntries, FleetService, LimitService,
                 MissingChanges, OrganisationService, PartialResult, PlacementCall, PlacementEnd,
                 PlacementService, QuotaClaim, QuotaGrant, RegistryCopy, RegistryState,
-                RelayService, RelayedRequest, RelayedResponse, Subquery, SubqueryService,
-                SyncStatus, WireEntries, unpack,
+                RelayService, RelayedRequest, RelayedResponse, RolloutReport, RolloutService,
+                Subquery, SubqueryService, SyncStatus, WireEntries, unpack,
             },
             registry::Entry,
         },
@@ -305,6 +306,7 @@
     let leaf = Leaf {
         id: "leaf".into(),
         service: "lecturas".into(),
+        version: Name::default(),
         address: ([10, 1, 64, 7], 8_080).into(),
         domain: "north".into(),
         slots: 2,
@@ -352,6 +354,12 @@
     fn end_place(&self, _end: PlacementEnd) {}
 }
 
+impl RolloutService for Idle {
+    fn record_report(&self, _: RolloutReport) -> Option<Vec<Directive>> {
+        None
+    }
+}
+
 impl LimitService for Idle {
     fn share_limits(&self, _: &Name, _: Vec<Claim>) -> Vec<Share> {
         Vec::new()
@@ -442,6 +450,7 @@
         relays: Idle,
         organisations: Idle,
         placements: Idle,
+        rollouts: Idle,
     };
     tokio::spawn(fleet::serve(listener, service, stop.clone()));
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod policy;
 mod processes;
 mod quotas;
+mod rollouts;
 mod roster;
 mod settings;
 mod snapshots;
--- a/tests/testsuite/roster.rs
+++ b/tests/testsuite/roster.rs
@@ -3,6 +3,7 @@
 use {
     briarquay::{
         clock::Millis,
+        collections::Name,
         state::roster::{Leaf, Member, Phase, Roster, RosterChange, SUSPECT_PERIOD},
     },
     std::time::Duration,
@@ -14,6 +15,7 @@
     Leaf {
         id: id.into(),
         service: "lecturas".into(),
+        version: Name::default(),
         address: ([10, 1, 64, 7], 8_080).into(),
         domain: "xela-centro".into(),
         slots: 2,
