Keys: followers that a host answered leave the registry to their sources

Cause: while the registry answers nobody, each host of the fleet would call it for a proof. Change: a follower calls it only if no host answered in this round.

--- a/src/gateway/copy_proof.rs
+++ b/src/gateway/copy_proof.rs
@@ -87,13 +87,17 @@
         }
         let calls_registry = Millis::now() >= self.registry_due;
         let role = self.role(&view);
+        let mut is_answered = false;
         for prover in proof_renewal::provers(role, calls_registry) {
-            match prover {
+            if !proof_renewal::asks(role, *prover, is_answered) {
+                continue;
+            }
+            is_answered |= match prover {
                 Prover::Registry => self.ask_registry().await,
                 Prover::Lead => self.ask_leads().await,
                 Prover::Source => self.ask_source().await,
                 Prover::OtherHosts => self.ask_other_hosts().await,
-            }
+            };
             if self.is_recent() {
                 break;
             }
@@ -122,14 +126,16 @@
         proof_renewal::is_recent(self.gateway.copy_age(), self.lifetime)
     }
 
-    async fn ask_registry(&mut self) {
+    /// Asks the registry; returns whether it answered.
+    async fn ask_registry(&mut self) -> bool {
         let Some(sent_at) = BootTime::now() else {
-            return;
+            return false;
         };
         let known = self.gateway.copy_revision();
         let limit = proof_renewal::answer_timeout(Prover::Registry, self.lifetime);
         let read = self.registry.watch_routes(known, limit).await;
         self.gateway.metrics.record_registry_call(read.is_ok());
+        let is_answered = read.is_ok();
         if let Ok(update) = read {
             self.failures = 0;
             let proof = proof_of(known, &update, sent_at);
@@ -139,44 +145,54 @@
             let delay = sync_source::retry_delay(self.failures);
             self.registry_due = Millis::now().plus(delay);
         }
+        is_answered
     }
 
-    async fn ask_leads(&self) {
+    /// Asks the lead and the second host; returns whether one answered.
+    async fn ask_leads(&self) -> bool {
         let view = self.gateway.view();
+        let mut is_answered = false;
         for lead in view.helpers.leads(&self.gateway.settings.id) {
-            self.ask_host(lead, Prover::Lead).await;
+            is_answered |= self.ask_host(lead, Prover::Lead).await;
             if self.is_recent() {
-                return;
+                break;
             }
         }
+        is_answered
     }
 
-    async fn ask_source(&self) {
+    /// Asks the host that this one syncs from; returns whether it answered.
+    async fn ask_source(&self) -> bool {
         let view = self.gateway.view();
         let source = self.gateway.source_address();
-        if let Some(host) = source.and_then(|source| view.helpers.at(source)) {
-            self.ask_host(host, Prover::Source).await;
+        match source.and_then(|source| view.helpers.at(source)) {
+            Some(host) => self.ask_host(host, Prover::Source).await,
+            None => false,
         }
     }
 
-    async fn ask_other_hosts(&self) {
+    /// Asks some other hosts at once; returns whether one answered.
+    async fn ask_other_hosts(&self) -> bool {
         let view = self.gateway.view();
         let mut hosts = view.helpers.choose_relays(Instant::now());
         hosts.truncate(HOSTS_ASKED);
         let asked = hosts
             .iter()
             .map(|host| self.ask_host(host, Prover::OtherHosts));
-        join_all(asked).await;
+        join_all(asked).await.contains(&true)
     }
 
-    /// Asks `host` how current its copy is. Hosts that don't know of proofs fail to answer.
-    async fn ask_host(&self, host: &HelperHandle, prover: Prover) {
+    /// Asks `host` how current its copy is; returns whether it answered, which hosts that don't know
+    /// of proofs don't.
+    async fn ask_host(&self, host: &HelperHandle, prover: Prover) -> bool {
         let Some(sent_at) = BootTime::now() else {
-            return;
+            return false;
         };
         let limit = proof_renewal::answer_timeout(prover, self.lifetime);
         let reply = timeout(limit, host.channel.prove_current()).await;
-        let proof = reply.ok().and_then(Result::ok).flatten();
+        let answer = reply.ok().and_then(Result::ok);
+        let is_answered = answer.is_some();
+        let proof = answer.flatten();
         let counts = |proof: &CopyProof| proof.age < self.lifetime;
         host.record_proof(proof.as_ref().is_some_and(counts), Instant::now());
         if let Some(CopyProof { age, revision }) = proof
@@ -187,6 +203,7 @@
                 revision,
             });
         }
+        is_answered
     }
 
     /// Records the age of the proof, and logs when proofs no longer count or count again.
--- a/src/policy/proof_renewal.rs
+++ b/src/policy/proof_renewal.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Returns whether a host asks `prover` too in this round, in which another host has answered if
+/// `is_answered`. While the registry answers nobody, followers leave the calls to their sources.
+#[must_use]
+pub fn asks(role: Role, prover: Prover, is_answered: bool) -> bool {
+    !(is_answered && (role, prover) == (Role::Follower, Prover::Registry))
+}
+
 /// Returns the time until a proof of this age is renewed, where proofs count for `lifetime`.
 /// `jitter` is a random number from 0 to 1.
 #[must_use]
--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -288,4 +288,7 @@
     let follower = [Source, OtherHosts, Registry];
     assert_eq!(provers(Role::Follower, true), follower);
     assert_eq!(provers(Role::Follower, false), &follower[..2]);
+    assert!(proof_renewal::asks(Role::Follower, Registry, false));
+    assert!(!proof_renewal::asks(Role::Follower, Registry, true));
+    assert!(proof_renewal::asks(Role::Direct, Registry, true));
 }
