--- a/src/gateway/copy_proof.rs
+++ b/src/gateway/copy_proof.rs
@@ -148,20 +148,20 @@
         is_answered
     }
 
-    /// Asks the lead and the second host; returns whether one answered.
+    /// Asks the lead and the second host; returns whether one has a proof.
     async fn ask_leads(&self) -> bool {
         let view = self.gateway.view();
-        let mut is_answered = false;
+        let mut has_proof = false;
         for lead in view.helpers.leads(&self.gateway.settings.id) {
-            is_answered |= self.ask_host(lead, Prover::Lead).await;
+            has_proof |= self.ask_host(lead, Prover::Lead).await;
             if self.is_recent() {
                 break;
             }
         }
-        is_answered
+        has_proof
     }
 
-    /// Asks the host that this one syncs from; returns whether it answered.
+    /// Asks the host that this one syncs from; returns whether it has a proof.
     async fn ask_source(&self) -> bool {
         let view = self.gateway.view();
         let source = self.gateway.source_address();
@@ -171,7 +171,7 @@
         }
     }
 
-    /// Asks some other hosts at once; returns whether one answered.
+    /// Asks some other hosts at once; returns whether one has a proof.
     async fn ask_other_hosts(&self) -> bool {
         let view = self.gateway.view();
         let mut hosts = view.helpers.choose_relays(Instant::now());
@@ -182,17 +182,16 @@
         join_all(asked).await.contains(&true)
     }
 
-    /// Asks `host` how current its copy is; returns whether it answered, which hosts that don't know
-    /// of proofs don't.
+    /// Asks `host` how current its copy is; returns whether it has a proof, of whatever age. Hosts that
+    /// don't know of proofs have none.
     async fn ask_host(&self, host: &HelperHandle, prover: Prover) -> bool {
         let Some(sent_at) = BootTime::now() else {
             return false;
         };
         let limit = proof_renewal::answer_timeout(prover, self.lifetime);
         let reply = timeout(limit, host.channel.prove_current()).await;
-        let answer = reply.ok().and_then(Result::ok);
-        let is_answered = answer.is_some();
-        let proof = answer.flatten();
+        let proof = reply.ok().and_then(Result::ok).flatten();
+        let has_proof = proof.is_some();
         let counts = |proof: &CopyProof| proof.age < self.lifetime;
         host.record_proof(proof.as_ref().is_some_and(counts), Instant::now());
         if let Some(CopyProof { age, revision }) = proof
@@ -203,7 +202,7 @@
                 revision,
             });
         }
-        is_answered
+        has_proof
     }
 
     /// Records the age of the proof, and logs when proofs no longer count or count again.
--- a/src/policy/proof_renewal.rs
+++ b/src/policy/proof_renewal.rs
@@ -68,8 +68,9 @@
     }
 }
 
-/// Returns whether a host asks `prover` too in this round, in which another host has answered if
-/// `is_answered`. While the registry answers nobody, followers leave the calls to their sources.
+/// Returns whether a host asks `prover` too in this round, in which another host has told a proof, of
+/// whatever age, if `is_answered`. While the registry answers nobody, followers leave the calls to
+/// their sources; in a fleet that has just started nobody has a proof.
 #[must_use]
 pub fn asks(role: Role, prover: Prover, is_answered: bool) -> bool {
     !(is_answered && (role, prover) == (Role::Follower, Prover::Registry))
