Learn how much each leaf takes well

Cause: leaves of one service differ in speed, slow down below their slots, and are slowed by neighbours; a leaf's cost knew its last replies and its slots only. Metrics and a bounded log line. Result: not measured yet; the lib compiles.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,7 +49,7 @@
     limits::LimitSharing,
     metrics::Metrics,
     settings::{HostSettings, QuotaRule, ReloadableSettings, RolloutRule},
-    view::{LeafHandle, View},
+    view::{CapacityLearning, LeafHandle, View},
 };
 
 use {
@@ -174,6 +174,17 @@
         self.view.load_full()
     }
 
+    /// Records what was learned of the leaves in the metrics.
+    pub fn record_learned_capacity(&self) {
+        let now = Instant::now();
+        let view = self.view();
+        let leaves = view.services.values().flat_map(|service| &service.leaves);
+        let learned: Vec<_> = leaves
+            .filter_map(|leaf| leaf.learned_capacity(now))
+            .collect();
+        self.metrics.record_learned_capacity(&learned);
+    }
+
     /// Replaces the view for requests that start from now on.
     pub fn publish_view(&self, view: View) {
         self.view.store(Arc::new(view));
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -240,6 +240,14 @@
         }
     }
 
+    fn log_capacity_change(&self, now: Instant) {
+        if let Some(change) = self.leaf.take_capacity_change(now) {
+            info!(self.log, "attempt: leaf takes another number of requests well";
+                "leaf" => &*self.leaf.leaf.id, "service" => &*self.leaf.leaf.service,
+                "slots" => self.leaf.leaf.slots, "before" => change.before, "now" => change.now);
+        }
+    }
+
     async fn connect(
         &self,
         gateway: &Gateway,
@@ -297,6 +305,7 @@
             }
             Outcome::Replied(reply) => {
                 in_flight.record_reply(self.baseline.get(), dialect.load(&reply.headers), now);
+                self.log_capacity_change(now);
             }
             Outcome::Failed(failed) => match failed.failure.cause {
                 Cause::Shed => in_flight.record_rejection(now),
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -103,6 +103,7 @@
         Arc::clone(&gateway),
         stop,
         move |request| {
+            gateway.record_learned_capacity();
             let response = match (request.uri().path(), gateway.metrics.text()) {
                 (METRICS_PATH, Ok(text)) => FullResponse::new(Full::new(text.into())),
                 (METRICS_PATH, Err(error)) => {
--- a/src/gateway/registry_view.rs
+++ b/src/gateway/registry_view.rs
@@ -214,7 +214,8 @@
             let handle = known.cloned().unwrap_or_else(|| {
                 info!(gateway.log, "registry_sync: leaf is usable"; "leaf" => &*leaf.id,
                     "service" => &*leaf.service, "address" => %leaf.address);
-                Arc::new(LeafHandle::new(leaf.clone()))
+                let handle = LeafHandle::new(leaf.clone());
+                Arc::new(handle.with_learning(gateway.settings.learning))
             });
             handle.record_warmup(leaf.warmup_left, Instant::now());
             leaves.insert(leaf.id.clone(), Arc::clone(&handle));
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,6 +1,7 @@
 //! Settings that the platform gives an entry host.
 
 use {
+    super::view::CapacityLearning,
     crate::{collections::Name, state::fleet_budget::FleetBudget},
     std::{net::SocketAddr, time::Duration},
 };
@@ -67,6 +68,8 @@
     pub quota_rule: Option<QuotaRule>,
     /// Limits of a rollout; `None` where services are not rolled out.
     pub rollout_rule: Option<RolloutRule>,
+    /// Of which leaves it is learned how much they take well.
+    pub learning: CapacityLearning,
 }
 
 /// Settings that can change while the host runs.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -8,6 +8,7 @@
         protocol::dialect::Load,
         state::{
             fleet_budget::{BudgetShare, HostBudget},
+            leaf_capacity::{LeafCapacity, Sample},
             leaf_limit::{CLAIM_INTERVAL, HostShare, SHARE_TTL, Share, StatedLimit},
             rate_allocator::Claim,
             rejections::RejectionRate,
@@ -26,6 +27,10 @@
     },
 };
 
+mod capacity;
+
+pub use self::capacity::{CapacityLearning, LearnedCapacity};
+
 /// Age beyond which the load that a leaf reported is ignored.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(150);
 
@@ -99,6 +104,9 @@
 #[derive(Debug, Default)]
 struct LeafStats {
     latency: RelativeLatency,
+    learning: CapacityLearning,
+    /// How much the leaf takes well; `None` while that isn't learned.
+    capacity: Option<Box<LeafCapacity>>,
     /// The load that the leaf last reported, and when.
     load: Option<(Load, Instant)>,
     /// When the leaf last rejected a request as full.
@@ -132,6 +140,8 @@
     leaf: Arc<LeafHandle>,
     number: u64,
     sent_at: Instant,
+    /// Attempts of this host at the leaf when this one was sent, including it.
+    together: u32,
 }
 
 /// Whether a leaf's rate limit lets this host send a request.
@@ -259,6 +269,13 @@
         }
     }
 
+    /// Sets whether it is learned how much the leaf takes well.
+    #[must_use]
+    pub fn with_learning(self, learning: CapacityLearning) -> Self {
+        lock(&self.stats).learning = learning;
+        self
+    }
+
     /// Records for how much longer the leaf stays cold.
     pub fn record_warmup(&self, remaining: Duration, now: Instant) {
         lock(&self.stats).warmup.record_warmup(remaining, now);
@@ -385,6 +402,7 @@
             leaf: Arc::clone(self),
             number,
             sent_at: now,
+            together: u32::try_from(stats.in_flight.len()).unwrap_or(u32::MAX),
         }
     }
 
@@ -418,6 +436,7 @@
                 .full_at
                 .is_some_and(|at| now.saturating_duration_since(at) < FULL_BACKOFF),
             rejection_ratio: stats.rejections.ratio(now),
+            capacity: stats.learned(now),
         }
     }
 }
@@ -439,7 +458,18 @@
     /// reported.
     pub fn record_reply(&self, baseline: Duration, load: Option<Load>, now: Instant) {
         let mut stats = lock(&self.leaf.stats);
-        stats.latency.record_latency(self.age(now), baseline, now);
+        let sample = Sample {
+            latency: self.age(now).as_secs_f64() / baseline.as_secs_f64().max(1e-4),
+            requests: load
+                .map_or(0, |load| load.running.saturating_add(load.waiting))
+                .max(self.together),
+            pace: load.and_then(|load| load.pace),
+        };
+        let took = match stats.record_capacity(self.leaf.leaf.slots, sample, now) {
+            Some(alone) => baseline.mul_f64(alone),
+            None => self.age(now),
+        };
+        stats.latency.record_latency(took, baseline, now);
         stats.rejections.record_outcome(false, now);
         if let Some(load) = load {
             stats.load = Some((load, now));
--- a/src/policy/leaf_selection.rs
+++ b/src/policy/leaf_selection.rs
@@ -3,7 +3,8 @@
 //! Handles leaves that stall for a moment, run many times slower for seconds, or reject a
 //! part of their requests, while their replicas are idle. A leaf is drawn at random,
 //! weighted by the inverse of its expected time, so that many hosts with the same view do
-//! not all choose the same leaf.
+//! not all choose the same leaf. Where it is learned how much each leaf takes well, the
+//! expected time follows from that, and otherwise from its last replies and its slots.
 
 use crate::protocol::dialect::Load;
 
@@ -31,6 +32,15 @@
 /// none: each rejection costs a round trip and one of the permitted retries.
 const REJECTION_WEIGHT: f64 = 12.0;
 
+/// How much a leaf takes well, learned from its replies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Capacity {
+    /// Expected time of a request that is alone there now, as a multiple of the baseline.
+    pub time: f64,
+    /// Requests that it takes well at a time.
+    pub concurrency: f64,
+}
+
 /// State of a leaf that could get the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -52,17 +62,30 @@
     pub is_full: bool,
     /// Fraction of its requests that it rejects.
     pub rejection_ratio: f64,
+    /// How much it takes well; `None` where that isn't learned.
+    pub capacity: Option<Capacity>,
 }
 
 impl Candidate {
-    /// Returns the expected time of a request there as a multiple of the baseline latency.
+    /// Returns how many requests are at the leaf, as far as is known.
     #[must_use]
-    pub fn cost(&self) -> f64 {
-        let slots = f64::from(self.slots.max(1));
+    pub fn requests(&self) -> u32 {
         let reported = self.load.map_or(0, |load| {
             load.waiting.saturating_add(load.running.saturating_sub(1))
         });
-        let queue = f64::from(reported.max(self.in_flight)) / slots;
+        reported.max(self.in_flight)
+    }
+
+    /// Returns the expected time of a request there as a multiple of the baseline latency.
+    #[must_use]
+    pub fn expected(&self) -> f64 {
+        self.latency() * (1.0 + self.queue())
+    }
+
+    /// Returns what a request there costs: the expected time, raised by what speaks against
+    /// the leaf.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
         let distance = if self.is_local { 1.0 } else { REMOTE_FACTOR };
         let connect = if self.is_connected {
             1.0
@@ -70,10 +93,27 @@
             CONNECT_FACTOR
         };
         let full = if self.is_full { FULL_FACTOR } else { 1.0 };
-        let latency = self.relative_latency.max(self.overdue).max(0.1);
+        let latency = self.latency();
         let excess = (latency / SLOW_THRESHOLD).max(1.0);
         let rejections = 1.0 + self.rejection_ratio * REJECTION_WEIGHT;
-        latency * excess * (1.0 + queue) * distance * connect * full * rejections
+        latency * excess * (1.0 + self.queue()) * distance * connect * full * rejections
+    }
+
+    /// Returns the latency of a request that does not wait there, as a multiple of the
+    /// baseline.
+    fn latency(&self) -> f64 {
+        let learned = self.capacity.map(|capacity| capacity.time);
+        let latency = learned.unwrap_or(self.relative_latency);
+        latency.max(self.overdue).max(0.1)
+    }
+
+    /// Returns the requests at the leaf for each that it handles at a time.
+    fn queue(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let capacity = self
+            .capacity
+            .map_or(slots, |capacity| capacity.concurrency.max(1.0));
+        f64::from(self.requests()) / capacity
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
 pub mod health;
 pub mod host_count;
 pub mod latency;
+pub mod leaf_capacity;
 pub mod leaf_contact;
 pub mod leaf_limit;
 pub mod leaves;
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -170,6 +170,7 @@
         is_connected: true,
         is_full: false,
         rejection_ratio: 0.0,
+        capacity: None,
     }
 }
 
@@ -319,6 +320,7 @@
         is_connected: false,
         is_full: false,
         rejection_ratio: 0.0,
+        capacity: None,
     };
     let mut latency = RelativeLatency::default();
 
