Leaf capacity: follow single replies, and a stated pace for 0.8 s

Change: the time of a request alone at a leaf is the relative latency of its last replies, without what pace and requests there explain; the average of many is used as the reference for the growth only.

--- a/src/gateway/view/capacity.rs
+++ b/src/gateway/view/capacity.rs
@@ -50,15 +50,8 @@
     /// Returns what was learned of the leaf; `None` when nothing is.
     pub(super) fn learned(&self, now: Instant) -> Option<Capacity> {
         let capacity = self.capacity.as_deref()?;
-        let service = capacity.service_time(now);
-        // A stall or a slow phase is noticed sooner by the replies in a row.
-        let service = if self.latency.is_slow() {
-            service.max(self.latency.current(now))
-        } else {
-            service
-        };
         Some(Capacity {
-            time: service * capacity.pace(now),
+            time: self.latency.current(now) * capacity.pace(now),
             concurrency: capacity.concurrency(now),
         })
     }
--- a/src/state/leaf_capacity.rs
+++ b/src/state/leaf_capacity.rs
@@ -39,7 +39,7 @@
 const MAX_REQUESTS: u32 = 8;
 
 /// Age at which a stated pace says nothing any more: it changes many times a second.
-const PACE_TTL: Duration = Duration::from_millis(400);
+const PACE_TTL: Duration = Duration::from_millis(800);
 
 /// Largest stated pace that is distinguished, as a multiple of the usual.
 const MAX_PACE: f64 = 32.0;
@@ -161,8 +161,8 @@
         self.pace.is_some()
     }
 
-    /// Returns the time of a request that is alone at the leaf at the usual pace, as a multiple
-    /// of the baseline.
+    /// Returns the time that a request takes that is alone at the leaf at the usual pace, as a
+    /// multiple of the baseline: the average of many replies.
     #[must_use]
     pub fn service_time(&self, now: Instant) -> f64 {
         self.service.get(now)
--- a/src/state/relative_latency.rs
+++ b/src/state/relative_latency.rs
@@ -157,13 +157,6 @@
         self.recorded_at = Some(now);
     }
 
-    /// Returns whether the last reply left the relative latency that of a slow leaf; it may have
-    /// decayed since.
-    #[must_use]
-    pub fn is_slow(&self) -> bool {
-        self.average > SLOW_RATIO
-    }
-
     /// Returns the leaf's relative latency, decayed until `now`; 1 is the baseline.
     #[must_use]
     pub fn current(&self, now: Instant) -> f64 {
