--- a/src/gateway/hedged_request/leaf_choice.rs
+++ b/src/gateway/hedged_request/leaf_choice.rs
@@ -44,7 +44,7 @@
             .map(|leaf| leaf.candidate(near, now))
             .collect();
         let mut cause = Cause::Unreachable;
-        while let Some(chosen) = leaf_selection::choose_leaf(&candidates, rand::random()) {
+        while let Some(chosen) = leaf_selection::choose(&candidates, rand::random()) {
             candidates.swap_remove(chosen);
             let leaf = leaves.swap_remove(chosen);
             match leaf.take_from_limit(now) {
--- a/src/gateway/view/capacity.rs
+++ b/src/gateway/view/capacity.rs
@@ -51,7 +51,7 @@
     pub(super) fn learned(&self, now: Instant) -> Option<Capacity> {
         let capacity = self.capacity.as_deref()?;
         Some(Capacity {
-            time: self.latency.current(now) * capacity.pace(now),
+            time: capacity.expected_time(self.latency.current(now), now),
             concurrency: capacity.concurrency(now),
         })
     }
--- a/src/policy/leaf_selection.rs
+++ b/src/policy/leaf_selection.rs
@@ -12,6 +12,10 @@
 /// gets a sixteenth of the other's share.
 const COST_EXPONENT: i32 = 4;
 
+/// Exponent in each of two draws of which the cheaper leaf is taken: together they prefer
+/// cheap leaves about as much.
+const DRAW_EXPONENT: i32 = 2;
+
 /// Relative latency above which the cost grows with its square: leaves of one service
 /// differ by less, and a leaf in another domain costs little compared with a reply that
 /// comes too late.
@@ -117,11 +121,31 @@
     }
 }
 
+/// Returns the index of one of `candidates`, chosen by the random numbers `draws` in
+/// `0.0..1.0`; `None` if there are none. Of leaves whose capacity is learned, two are drawn and
+/// the cheaper is taken: a leaf that is dearer than another seldom gets a request, while hosts
+/// with the same view still choose differently.
+#[must_use]
+pub fn choose(candidates: &[Candidate], draws: [f64; 2]) -> Option<usize> {
+    let has_learned = candidates.iter().any(|leaf| leaf.capacity.is_some());
+    if !has_learned {
+        return choose_leaf(candidates, draws[0]);
+    }
+    let [first, second] = draws.map(|draw| draw_leaf(candidates, draw, DRAW_EXPONENT));
+    let (first, second) = (first?, second?);
+    let is_cheaper = candidates[second].cost() < candidates[first].cost();
+    Some(if is_cheaper { second } else { first })
+}
+
 /// Returns the index of one of `candidates`, chosen by the random number `draw` in
 /// `0.0..1.0`; `None` if there are none.
 #[must_use]
 pub fn choose_leaf(candidates: &[Candidate], draw: f64) -> Option<usize> {
-    let weight = |candidate: &Candidate| candidate.cost().powi(-COST_EXPONENT);
+    draw_leaf(candidates, draw, COST_EXPONENT)
+}
+
+fn draw_leaf(candidates: &[Candidate], draw: f64, exponent: i32) -> Option<usize> {
+    let weight = |candidate: &Candidate| candidate.cost().powi(-exponent);
     let total: f64 = candidates.iter().map(weight).sum();
     let mut remaining = draw * total;
     for (index, candidate) in candidates.iter().enumerate() {
--- a/src/state/leaf_capacity.rs
+++ b/src/state/leaf_capacity.rs
@@ -31,9 +31,13 @@
 /// that take longer.
 const TOLERATED_GROWTH: f64 = 1.3;
 
-/// Half-life of what was learned without new samples: a leaf whose share of the requests is
-/// small gets a sample every few seconds.
-const HALF_LIFE: Duration = Duration::from_secs(4);
+/// Half-life of a growth without new samples: a leaf that is avoided gets no two requests at
+/// once that would show it.
+const GROWTH_HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Half-life of the time of a request without new samples. Of many hosts, each gets a reply of
+/// a slow leaf every few seconds.
+const TIME_HALF_LIFE: Duration = Duration::from_secs(12);
 
 /// Largest number of requests at a leaf that is told apart from larger ones.
 const MAX_REQUESTS: u32 = 8;
@@ -88,6 +92,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Decaying {
     value: f64,
+    half_life: Duration,
     /// `None` before the first sample.
     at: Option<Instant>,
 }
@@ -95,7 +100,8 @@
 impl Decaying {
     fn get(&self, now: Instant) -> f64 {
         let Some(at) = self.at else { return self.value };
-        let half_lives = now.saturating_duration_since(at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let half_lives =
+            now.saturating_duration_since(at).as_secs_f64() / self.half_life.as_secs_f64();
         1.0 + (self.value - 1.0) * 0.5_f64.powf(half_lives)
     }
 
@@ -110,15 +116,16 @@
     /// Returns the state for a leaf with `slots` slots of which nothing is known.
     #[must_use]
     pub fn new(slots: u32) -> Self {
-        let unknown = Decaying {
+        let unknown = |half_life| Decaying {
             value: 1.0,
+            half_life,
             at: None,
         };
         let slots = slots.max(1);
         Self {
             slots,
-            service: unknown,
-            growth: array::from_fn(|_| unknown),
+            service: unknown(TIME_HALF_LIFE),
+            growth: array::from_fn(|_| unknown(GROWTH_HALF_LIFE)),
             pace: None,
             sampled_at: None,
             reported: f64::from(slots),
@@ -161,13 +168,6 @@
         self.pace.is_some()
     }
 
-    /// Returns the time that a request takes that is alone at the leaf at the usual pace, as a
-    /// multiple of the baseline: the average of many replies.
-    #[must_use]
-    pub fn service_time(&self, now: Instant) -> f64 {
-        self.service.get(now)
-    }
-
     /// Returns the expected pace of work at the leaf, as a multiple of the usual. The older the
     /// stated pace is, the closer to the usual.
     #[must_use]
@@ -194,6 +194,18 @@
         slots
     }
 
+    /// Returns the time of a request that is alone at the leaf now, as a multiple of the baseline,
+    /// where its last replies took `latency`. The longer ago they are, the closer to 1.
+    #[must_use]
+    pub fn expected_time(&self, latency: f64, now: Instant) -> f64 {
+        let known = Decaying {
+            value: latency,
+            half_life: TIME_HALF_LIFE,
+            at: self.sampled_at,
+        };
+        known.get(now) * self.pace(now)
+    }
+
     /// Returns the time since the last reply; `None` before the first.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,5 +26,6 @@
 mod support;
 mod suspects;
 mod targets;
+mod uneven_leaves;
 mod verdicts;
 mod world;
