--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -182,7 +182,7 @@
         let learned: Vec<_> = leaves
             .filter_map(|leaf| leaf.learned_capacity(now))
             .collect();
-        self.metrics.record_learned_capacity(&learned);
+        self.metrics.leaf_capacity.record(&learned);
     }
 
     /// Replaces the view for requests that start from now on.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,16 +1,20 @@
 //! Counters and histograms of an entry host.
 
 use {
-    super::{crash_check::LeafCheck, view::LearnedCapacity},
+    super::crash_check::LeafCheck,
     crate::{policy::rejection::Reason, protocol::verdict::Cause, transport::connection::End},
     eyre::Result,
     prometheus::{
-        Encoder, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-        Opts, Registry, TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
     },
     std::time::Duration,
 };
 
+mod leaf_capacity;
+
+use self::leaf_capacity::CapacityGauges;
+
 /// Upper bounds of the latency buckets, seconds: around the latency objectives of the
 /// routes,
 /// 50 ms to 600 ms.
@@ -49,38 +53,8 @@
     pub cut_off: IntGauge,
     /// 1 while this host syncs from another host, 0 while it syncs from the registry.
     pub follows_host: IntGauge,
-    /// Leaves of which it is learned how much they take well.
-    learned_leaves: IntGauge,
-    capacity_ratio: Spread,
-    expected_time: Spread,
-}
-
-/// Lowest, median and highest of a value of many leaves: one series for each leaf would be
-/// too many.
-struct Spread {
-    lowest: Gauge,
-    median: Gauge,
-    highest: Gauge,
-}
-
-impl Spread {
-    fn new(gauges: &GaugeVec) -> Self {
-        let of = |rank| gauges.with_label_values(&[rank]);
-        Self {
-            lowest: of("lowest"),
-            median: of("median"),
-            highest: of("highest"),
-        }
-    }
-
-    fn record(&self, mut values: Vec<f64>) {
-        values.sort_by(f64::total_cmp);
-        if let (Some(lowest), Some(highest)) = (values.first(), values.last()) {
-            self.lowest.set(*lowest);
-            self.median.set(values[values.len() / 2]);
-            self.highest.set(*highest);
-        }
-    }
+    /// How much leaves take well.
+    pub leaf_capacity: CapacityGauges,
 }
 
 /// Attempts by reason. Each counter is looked up once at the start, since attempts are
@@ -210,12 +184,6 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
-        let spread = |name: &str, help: &str| -> Result<Spread> {
-            let options = Opts::new(format!("briarquay_{name}"), help);
-            let gauges = GaugeVec::new(options, &["rank"])?;
-            registry.register(Box::new(gauges.clone()))?;
-            Ok(Spread::new(&gauges))
-        };
         let options = HistogramOpts::new(
             "briarquay_request_seconds",
             "Time from a request's head to its response",
@@ -287,32 +255,11 @@
                 "follows_host",
                 "1 while another host is followed, 0 while the registry is",
             )?,
-            learned_leaves: gauge(
-                "learned_leaves",
-                "Leaves of which it is learned how much they take well",
-            )?,
-            capacity_ratio: spread(
-                "leaf_capacity_ratio",
-                "Requests that a leaf takes well at a time, as a share of its slots",
-            )?,
-            expected_time: spread(
-                "leaf_expected_time_ratio",
-                "Expected time of a request at a leaf, as a multiple of the route's baseline",
-            )?,
+            leaf_capacity: CapacityGauges::new(&registry)?,
             registry,
         })
     }
 
-    /// Records what was learned of the leaves.
-    pub fn record_learned_capacity(&self, learned: &[LearnedCapacity]) {
-        let count = i64::try_from(learned.len()).unwrap_or(i64::MAX);
-        self.learned_leaves.set(count);
-        self.capacity_ratio
-            .record(learned.iter().map(|leaf| leaf.share).collect());
-        self.expected_time
-            .record(learned.iter().map(|leaf| leaf.expected).collect());
-    }
-
     /// Records a response: its route, status, latency and the number of its missing shards.
     pub fn record_response(&self, route: &str, status: u16, took: Duration, missing: usize) {
         self.responses
