--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -59,7 +59,7 @@
     quotas::Quotas,
     rollouts::RolloutSharing,
     settings::{HostSettings, ReloadableSettings, RolloutRule},
-    view::{LeafHandle, View},
+    view::{CapacityLearning, LeafHandle, View},
 };
 
 pub use crate::state::organisations::QuotaRule;
@@ -205,6 +205,17 @@
         self.view.load_full()
     }
 
+    /// Records what was learned of the leaves in the metrics.
+    pub fn record_learned_capacity(&self) {
+        let now = Instant::now();
+        let view = self.view();
+        let leaves = view.services.values().flat_map(|service| &service.leaves);
+        let learned: Vec<_> = leaves
+            .filter_map(|leaf| leaf.learned_capacity(now))
+            .collect();
+        self.metrics.leaf_capacity.record(&learned);
+    }
+
     /// Replaces the view for requests that start from now on.
     pub fn publish_view(&self, view: View) {
         if self.settings.quota_rule.is_some() {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -14,6 +14,10 @@
     std::time::Duration,
 };
 
+mod leaf_capacity;
+
+use self::leaf_capacity::CapacityGauges;
+
 /// Upper bounds of the latency buckets, seconds: around the latency objectives of the
 /// routes,
 /// 50 ms to 600 ms.
@@ -64,6 +68,8 @@
     pub cut_off: IntGauge,
     /// 1 while this host syncs from another host, 0 while it syncs from the registry.
     pub follows_host: IntGauge,
+    /// How much leaves take well.
+    pub leaf_capacity: CapacityGauges,
 }
 
 /// Attempts by reason. Each counter is looked up once at the start, since attempts are
@@ -323,6 +329,7 @@
                 "follows_host",
                 "1 while another host is followed, 0 while the registry is",
             )?,
+            leaf_capacity: CapacityGauges::new(&registry)?,
             registry,
         })
     }
