--- a/tests/testsuite/uneven_leaves.rs
+++ b/tests/testsuite/uneven_leaves.rs
@@ -145,6 +145,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         domain: "north".into(),
         slots: SLOTS,
+        version: "1".into(),
         phase: Phase::Serving,
         warmup_left: Duration::ZERO,
         started_ms: 1,
