--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod fixtures;
 mod follow;
+mod hostile_callers;
 mod leaf_contact;
 mod limits;
 mod merge;
