Replies with a status above 599 reach no caller

Cause: a status of three digits above 599 passes the HTTP parser, and such a reply with a digest was taken for an answer. 000, 001, 099, 20, 2000, 1000 and 2x0 are refused by the parser already.

Change: a reply with a status above 599 is malformed; it may have run.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -33,6 +33,10 @@
     tokio::time::timeout_at,
 };
 
+/// Highest status code of HTTP. The codes above it that have three digits come through the parser;
+/// a leaf that sends one is at fault.
+const MAX_STATUS: u16 = 599;
+
 /// A request as it is sent to leaves.
 #[derive(Debug)]
 pub struct OutgoingRequest {
@@ -335,6 +339,7 @@
 fn classify_reply(dialect: &Dialect, reply: LeafReply) -> Outcome {
     let failure = match dialect.verdict(reply.status, &reply.headers) {
         Verdict::NotRun => Failure::not_run(Cause::Shed),
+        _ if reply.status.as_u16() > MAX_STATUS => Failure::may_have_run(Cause::Malformed),
         _ if dialect.digest(&reply.headers).is_none() => Failure::may_have_run(Cause::Malformed),
         _ => return Outcome::Replied(Box::new(reply)),
     };
