--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod allowance;
+mod caller_memory;
 mod callers;
 mod checkers;
 mod cluster;
