--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -158,12 +158,12 @@
         Ok(Self {
             reloadable: ArcSwap::from_pointee(ReloadableSettings::of(&settings)),
             rollouts: RolloutSharing::new(settings.rollout_rule),
+            reply_buffers: ReplyBuffers::new(settings.memory),
             settings,
             dialect,
             log,
             metrics,
             registry_copy: RegistryCopy::default(),
-            reply_buffers: ReplyBuffers::default(),
             limits: LimitSharing::default(),
             quotas: Quotas::default(),
             crashes: CrashRecords::default(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod authorization;
+pub mod caller_memory;
 pub mod delegation;
 pub mod hedge;
 pub mod helper_failure;
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -33,6 +33,8 @@
     /// Nobody has answered whether the organisation's quota is used up; the caller should come
     /// back after this time.
     QuotaUnknown(Duration),
+    /// Callers hold too much memory of this host together.
+    NoMemory,
     /// This host is stopping, and the request can't end before it has ended.
     Stopping,
 }
@@ -71,6 +73,8 @@
         | Reason::Crowded(wait)
         | Reason::OverQuota(wait)
         | Reason::QuotaUnknown(wait) => wait,
+        Reason::Overloaded | Reason::NoMemory => OVERLOAD_TIME,
+        Reason::RateLimited(wait) | Reason::Quarantined(wait) => wait,
         Reason::Unreachable => RESTART_TIME / 2,
         Reason::Unproven => PROOF_TIME,
         // Other hosts serve at present.
@@ -95,6 +99,7 @@
             Self::Unproven => "unproven",
             Self::OverQuota(_) => "over_quota",
             Self::QuotaUnknown(_) => "quota_unknown",
+            Self::NoMemory => "no_memory",
             Self::Stopping => "stopping",
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod allowance;
+mod caller_memory;
 mod callers;
 mod checkers;
 mod cluster;
@@ -10,6 +11,7 @@
 mod faults;
 mod fixtures;
 mod follow;
+mod hostile_callers;
 mod keys;
 mod leaf_contact;
 mod limits;
