--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -74,7 +74,6 @@
         | Reason::OverQuota(wait)
         | Reason::QuotaUnknown(wait) => wait,
         Reason::Overloaded | Reason::NoMemory => OVERLOAD_TIME,
-        Reason::RateLimited(wait) | Reason::Quarantined(wait) => wait,
         Reason::Unreachable => RESTART_TIME / 2,
         Reason::Unproven => PROOF_TIME,
         // Other hosts serve at present.
