--- a/src/state/leaf_capacity.rs
+++ b/src/state/leaf_capacity.rs
@@ -162,12 +162,6 @@
         alone
     }
 
-    /// Returns whether the leaf stated its pace in the last reply.
-    #[must_use]
-    pub fn states_pace(&self) -> bool {
-        self.pace.is_some()
-    }
-
     /// Returns the expected pace of work at the leaf, as a multiple of the usual. The older the
     /// stated pace is, the closer to the usual.
     #[must_use]
