Metrics of organisations in their own module

Change: those of keys, quotas and placement move to metrics/organisations.rs; names in the output are unchanged.

--- a/src/gateway/authorization.rs
+++ b/src/gateway/authorization.rs
@@ -125,7 +125,7 @@
         Verdict::HandOver => ("unproven", Ok(Caller::Unproven)),
         Verdict::Declined => ("unproven", Err(Refusal::Unproven)),
     };
-    gateway.metrics.record_authorization(outcome);
+    gateway.metrics.organisations.record_authorization(outcome);
     if checked.is_err() {
         info!(gateway.log, "authorization: refused"; "request" => request.id,
             "route" => &*request.route.name, "version" => request.routes.version,
--- a/src/gateway/copy_proof.rs
+++ b/src/gateway/copy_proof.rs
@@ -210,7 +210,11 @@
         let gateway = &self.gateway;
         let age = gateway.copy_age();
         let age_ms = age.and_then(|age| i64::try_from(millis(age)).ok());
-        gateway.metrics.proof_age.set(age_ms.unwrap_or(-1));
+        gateway
+            .metrics
+            .organisations
+            .proof_age
+            .set(age_ms.unwrap_or(-1));
         let is_proven = age.is_some_and(|age| age < self.lifetime);
         match (self.is_proven, is_proven) {
             (true, false) => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of an entry host.
 
 use {
-    super::{crash_check::LeafCheck, quotas::QuotaOutcome},
+    super::crash_check::LeafCheck,
     crate::{
         policy::rejection::Reason, protocol::verdict::Cause, state::rollouts::Phase,
         transport::connection::End,
@@ -15,9 +15,12 @@
 };
 
 mod leaf_capacity;
+mod organisations;
 
 use self::leaf_capacity::CapacityGauges;
 
+pub use self::organisations::{OrganisationMetrics, PlacementResult};
+
 /// Upper bounds of the latency buckets, seconds: around the latency objectives of the
 /// routes,
 /// 50 ms to 600 ms.
@@ -46,13 +49,8 @@
     broken_connections: IntCounterVec,
     subqueries: IntCounterVec,
     relays: IntCounterVec,
-    authorizations: IntCounterVec,
-    /// Milliseconds for which changes of the registry may be missing in this host's copy, as far as
-    /// it is proven; -1 without a proof.
-    pub proof_age: IntGauge,
-    placements: IntCounterVec,
-    quotas: IntCounterVec,
-    quota_grants: IntCounterVec,
+    /// What concerns organisations and the leaves for which they compete.
+    pub organisations: OrganisationMetrics,
     registry_calls: IntCounterVec,
     /// Failures of the registry sync.
     pub failed_syncs: IntCounter,
@@ -184,29 +182,6 @@
     }
 }
 
-/// What became of a request that needs a place at a leaf.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PlacementResult {
-    /// It got one.
-    Placed,
-    /// It can't be answered in time.
-    Refused,
-    /// This host chose the leaf without the placer.
-    Without,
-}
-
-impl PlacementResult {
-    /// Returns the name that metrics use.
-    #[must_use]
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Placed => "placed",
-            Self::Refused => "refused",
-            Self::Without => "without",
-        }
-    }
-}
-
 impl Metrics {
     /// Returns metrics in a new Prometheus registry.
     ///
@@ -281,30 +256,7 @@
                 "Requests handed to other hosts, since this one reaches no leaf, by outcome",
                 &["outcome"],
             )?,
-            authorizations: counters(
-                "authorizations_total",
-                "Requests whose caller was checked, by outcome",
-                &["outcome"],
-            )?,
-            proof_age: gauge(
-                "copy_proof_age_ms",
-                "Age of the proof that the copy of the registry is current; -1 without one",
-            )?,
-            placements: counters(
-                "placements_total",
-                "Requests that need a place at a leaf, by result",
-                &["result"],
-            )?,
-            quotas: counters(
-                "quota_requests_total",
-                "Requests of organisations with a quota, by what was decided",
-                &["outcome"],
-            )?,
-            quota_grants: counters(
-                "quota_grants_total",
-                "Requests for which this host was asked as an allocator, by result",
-                &["result"],
-            )?,
+            organisations: OrganisationMetrics::new(&registry)?,
             registry_calls: counters(
                 "registry_calls_total",
                 "Calls to the registry by result",
@@ -367,34 +319,11 @@
         broken.with_label_values(&[check.name()]).inc();
     }
 
-    /// Counts a request that needs a place at a leaf.
-    pub fn record_placement(&self, result: PlacementResult) {
-        self.placements.with_label_values(&[result.name()]).inc();
-    }
-
     /// Records what became of a request that was handed to another host.
     pub fn record_relay(&self, outcome: RelayOutcome) {
         self.relays.with_label_values(&[outcome.name()]).inc();
     }
 
-    /// Records that the caller of a request was checked.
-    pub fn record_authorization(&self, outcome: &str) {
-        self.authorizations.with_label_values(&[outcome]).inc();
-    }
-
-    /// Records how the quota of a request was decided.
-    pub fn record_quota(&self, outcome: QuotaOutcome) {
-        self.quotas.with_label_values(&[outcome.name()]).inc();
-    }
-
-    /// Records what a claim got from this host, as an allocator.
-    pub fn record_quota_grant(&self, granted: u32, denied: u32) {
-        for (result, count) in [("granted", granted), ("denied", denied)] {
-            let counter = self.quota_grants.with_label_values(&[result]);
-            counter.inc_by(u64::from(count));
-        }
-    }
-
     /// Records how many requests are held since they crash leaves.
     pub fn record_held_requests(&self, count: usize) {
         self.held_requests
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -119,7 +119,7 @@
             Placed::At(_) => PlacementResult::Placed,
             Placed::Refused(_) => PlacementResult::Refused,
         };
-        self.gateway.metrics.record_placement(result);
+        self.gateway.metrics.organisations.record_placement(result);
         placed
     }
 
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -105,11 +105,14 @@
     let now = Instant::now();
     let name = &organisation.name;
     if let Some(wait) = gateway.quotas.remembered_denial(name, quota, now) {
-        gateway.metrics.record_quota(QuotaOutcome::Remembered);
+        gateway
+            .metrics
+            .organisations
+            .record_quota(QuotaOutcome::Remembered);
         return QuotaVerdict::Refused(Refusal::OverQuota(wait));
     }
     let verdict = wait_for_turn(gateway, name, quota, patience, now).await;
-    gateway.metrics.record_quota(match verdict {
+    gateway.metrics.organisations.record_quota(match verdict {
         Ok(_) => QuotaOutcome::Granted,
         Err(Refusal::OverQuota(_)) => QuotaOutcome::Denied,
         Err(Refusal::Unknown(_)) => QuotaOutcome::Unanswered,
@@ -314,6 +317,7 @@
         let taken = allocator.take(organisation, tenure, part, requests, max_wait, now);
         drop(allocator);
         self.metrics
+            .organisations
             .record_quota_grant(taken.tokens, requests - taken.tokens);
         Some(QuotaGrant {
             requests: taken.tokens,
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -67,13 +67,12 @@
         Reason::NoRoutes => STARTUP_TIME,
         Reason::NoLeaf | Reason::TooFewShards => RESTART_TIME,
         Reason::Full => baseline.map_or(DEFAULT_DELAY, |baseline| baseline * DRAIN_FACTOR),
-        Reason::Overloaded => OVERLOAD_TIME,
+        Reason::Overloaded | Reason::NoMemory => OVERLOAD_TIME,
         Reason::RateLimited(wait)
         | Reason::Quarantined(wait)
         | Reason::Crowded(wait)
         | Reason::OverQuota(wait)
         | Reason::QuotaUnknown(wait) => wait,
-        Reason::Overloaded | Reason::NoMemory => OVERLOAD_TIME,
         Reason::Unreachable => RESTART_TIME / 2,
         Reason::Unproven => PROOF_TIME,
         // Other hosts serve at present.
