--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -2,10 +2,7 @@
 
 use {
     super::crash_check::LeafCheck,
-    crate::{
-        policy::rejection::Reason, protocol::verdict::Cause, state::rollouts::Phase,
-        transport::connection::End,
-    },
+    crate::{policy::rejection::Reason, protocol::verdict::Cause, transport::connection::End},
     eyre::Result,
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -16,8 +13,9 @@
 
 mod leaf_capacity;
 mod organisations;
+mod rollouts;
 
-use self::leaf_capacity::CapacityGauges;
+use self::{leaf_capacity::CapacityGauges, rollouts::RolloutMetrics};
 
 pub use self::organisations::{OrganisationMetrics, PlacementResult};
 
@@ -61,11 +59,8 @@
     /// Entry hosts that share the fleet's limits.
     pub hosts: IntGauge,
     held_requests: IntGauge,
-    rollout_sends: IntCounterVec,
-    rollout_stages: IntCounterVec,
-    rollout_reports: IntCounterVec,
-    /// 1 while this host drives rollouts.
-    pub drives_rollouts: IntGauge,
+    /// What concerns rollouts.
+    pub rollouts: RolloutMetrics,
     /// 1 while this host reaches no leaf.
     pub cut_off: IntGauge,
     /// 1 while this host syncs from another host, 0 while it syncs from the registry.
@@ -274,18 +269,7 @@
                 "held_requests",
                 "Requests that are held since they crash leaves",
             )?,
-            rollout_sends: counters(
-                "rollout_sends_total",
-                "Sends to leaves of services that are rolled out, by version",
-                &["version"],
-            )?,
-            rollout_stages: counters(
-                "rollout_stages_total",
-                "Stages of rollouts that this host decided",
-                &["stage"],
-            )?,
-            rollout_reports: counters("rollout_reports_total", "Reports by result", &["result"])?,
-            drives_rollouts: gauge("drives_rollouts", "1 while this host drives rollouts")?,
+            rollouts: RolloutMetrics::new(&registry)?,
             cut_off: gauge("cut_off", "1 while this host reaches no leaf")?,
             hosts: gauge("entry_hosts", "Entry hosts that share the fleet's limits")?,
             follows_host: gauge(
@@ -330,24 +314,6 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
-    /// Records a send to a leaf of a service that is rolled out.
-    pub fn record_rollout_send(&self, is_target: bool) {
-        let version = if is_target { "target" } else { "former" };
-        self.rollout_sends.with_label_values(&[version]).inc();
-    }
-
-    /// Records a stage that this host decided.
-    pub fn record_rollout_stage(&self, phase: Phase) {
-        let stages = &self.rollout_stages;
-        stages.with_label_values(&[phase.name()]).inc();
-    }
-
-    /// Records a report to the driver and whether it succeeded.
-    pub fn record_rollout_report(&self, is_ok: bool) {
-        let result = if is_ok { "ok" } else { "failed" };
-        self.rollout_reports.with_label_values(&[result]).inc();
-    }
-
     /// Records a rejected request.
     pub fn record_rejection(&self, reason: Reason) {
         self.rejections.with_label_values(&[reason.name()]).inc();
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -205,7 +205,7 @@
         let mut state = lock(&self.rollouts.state);
         let sample = state.start_sample(service, version, route, usual)?;
         drop(state);
-        self.metrics.record_rollout_send(sample.is_target());
+        self.metrics.rollouts.record_send(sample.is_target());
         Some(CountedAttempt {
             gateway: Arc::clone(self),
             sample,
@@ -265,7 +265,7 @@
         let until = Millis::now().plus(rule.rollback_time.mul_f64(CONTACT_PART));
         let report = gateway.own_report(services);
         let result = deliver(&gateway, &driver.host, report).await;
-        gateway.metrics.record_rollout_report(result.is_ok());
+        gateway.metrics.rollouts.record_report(result.is_ok());
         match result {
             Ok(directives) => {
                 has_failed = false;
--- a/src/gateway/rollouts/driver.rs
+++ b/src/gateway/rollouts/driver.rs
@@ -84,7 +84,7 @@
         }
     };
     info!(gateway.log, "rollouts: this host drives rollouts"; "lease" => lease.id);
-    gateway.metrics.drives_rollouts.set(1);
+    gateway.metrics.rollouts.is_driver.set(1);
     let mut claim = Claim {
         revision,
         valid_until: sent_at.plus(CLAIM_TTL),
@@ -116,7 +116,7 @@
         driving.set_claim(claim);
     };
     lock(&gateway.rollouts.driving).drop_claim();
-    gateway.metrics.drives_rollouts.set(0);
+    gateway.metrics.rollouts.is_driver.set(0);
     info!(gateway.log, "rollouts: this host drives rollouts no more"; "reason" => reason);
     // The registry may still list this host for a moment.
     sleep(ROUND_TIME).await;
@@ -206,7 +206,7 @@
         "former_replies" => sum(|route| route.former.replies),
         "former_failed" => sum(|route| route.former.failed),
         "former_slow" => sum(|route| route.former.slow));
-    gateway.metrics.record_rollout_stage(stage.phase);
+    gateway.metrics.rollouts.record_stage(stage.phase);
 }
 
 fn rollout_fault_name(fault: crate::policy::rollout::Fault) -> &'static str {
