Quotas: a host that the store turns away takes its copy's age from other hosts

The allocator of the hot organisation follows a host of its domain that the store turned away as well, and heard an ever older age from it (10.7 s at second 12). Change: the age counts for the copy that followers get, as that of another source does. The age still passes 3 s after second 9, since a host asks one other host every 2 s and some of these are turned away too.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -141,8 +141,6 @@
     copy_proofs: Mutex<CopyProofs>,
     /// Whether the registry sync has failed and not published a view since.
     is_out_of_sync: AtomicBool,
-    /// Time at which another host has confirmed this host's copy last, like `synced_at`.
-    confirmed_at: AtomicU64,
     /// Notified when this host syncs from the registry again instead of from another host.
     pub registry_resumed: Notify,
 }
@@ -178,7 +176,6 @@
             own_count: Mutex::default(),
             copy_proofs: Mutex::default(),
             is_out_of_sync: AtomicBool::new(false),
-            confirmed_at: AtomicU64::new(0),
             registry_resumed: Notify::new(),
         })
     }
@@ -259,16 +256,7 @@
     /// had answered it `age` before.
     pub fn record_confirmation(&self, asked_at: Millis, age: Duration) {
         let at = asked_at.0.saturating_sub(millis(age));
-        self.confirmed_at.fetch_max(at, Ordering::Relaxed);
-    }
-
-    /// Returns the time since all entries of the registry were known here, from the registry or
-    /// from another host that it answered.
-    #[must_use]
-    pub fn entries_age(&self) -> Duration {
-        let now = Millis::now();
-        let confirmed = now.since(Millis(self.confirmed_at.load(Ordering::Relaxed)));
-        self.registry_copy.sync_status(now).age.min(confirmed)
+        self.registry_copy.record_contact(Millis(at));
     }
 
     /// Records the source that this host syncs from.
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -11,6 +11,7 @@
         view::{View, lock},
     },
     crate::{
+        clock::Millis,
         collections::{Map, Name},
         policy::quota::{self, PartFacts, Patience, Refusal},
         state::{
@@ -303,7 +304,7 @@
                 wait: Duration::ZERO,
             });
         };
-        let copy_age = self.entries_age();
+        let copy_age = self.registry_copy.sync_status(Millis::now()).age;
         let role_of = |hosts: &[HostPlace]| quota::role(organisation, &self.settings.id, hosts);
         let mut allocator = lock(&self.quotas.allocator);
         let tenure = allocator.tenure(role_of, quota::SETTLE_TIME, now)?;
