--- a/review/standins-2/cases/keys.rs
+++ b/review/standins-2/cases/keys.rs
@@ -33,7 +33,7 @@
             work: Duration::from_millis(20),
             limit: None,
             records: 100,
-            is_leaving: false,
+            crash_at: None,
         };
         let (id, zone) = (format!("i-{number}"), format!("zone-{number}"));
         let ip = fleet.leaf_ip(number);
--- a/review/standins-2/cases/limit.rs
+++ b/review/standins-2/cases/limit.rs
@@ -38,7 +38,7 @@
             work: Duration::from_millis(500),
             limit: Some(LIMIT_PER_S),
             records: 180,
-            is_leaving: false,
+            crash_at: None,
         };
         let ip = fleet.leaf_ip(number);
         let id = format!("i-{number}");
