--- a/review/standins-2/cases/cold.rs
+++ b/review/standins-2/cases/cold.rs
@@ -55,6 +55,7 @@
         limit: None,
         records: 180,
         crash_at,
+        idle_s: 10,
     };
     let ip = fleet.leaf_ip(number);
     Leaf::start(
--- a/review/standins-2/cases/keys.rs
+++ b/review/standins-2/cases/keys.rs
@@ -34,6 +34,7 @@
             limit: None,
             records: 100,
             crash_at: None,
+            idle_s: 10,
         };
         let (id, zone) = (format!("i-{number}"), format!("zone-{number}"));
         let ip = fleet.leaf_ip(number);
--- a/review/standins-2/cases/limit.rs
+++ b/review/standins-2/cases/limit.rs
@@ -39,6 +39,7 @@
             limit: Some(LIMIT_PER_S),
             records: 180,
             crash_at: None,
+            idle_s: 10,
         };
         let ip = fleet.leaf_ip(number);
         let id = format!("i-{number}");
--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -3,3 +3,4 @@
 pub mod cold;
 pub mod keys;
 pub mod limit;
+pub mod refused;
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -117,6 +117,8 @@
 
 pub struct Fleet {
     pub store: Store,
+    /// The store as single hosts reach it; the others use `store`.
+    pub doors: Vec<Store>,
     pub record: Record,
     /// The first two numbers of all addresses.
     net: String,
@@ -137,6 +139,7 @@
             let store = Store::start(&format!("{net}.3.1"))?;
             return Ok(Self {
                 store,
+                doors: Vec::new(),
                 record: record.clone(),
                 net,
                 folder,
@@ -150,6 +153,11 @@
         format!("{}.2.{}", self.net, number + 1)
     }
 
+    /// Returns the address of the path from the host to the leaf with these numbers.
+    pub fn path_ip(&self, host: usize, leaf: usize) -> String {
+        format!("{}.{}.{}", self.net, host + 4, leaf + 1)
+    }
+
     /// Starts `count` hosts in `zones` zones and waits until all are ready and registered. The
     /// configuration has to be in the store.
     pub fn start_hosts(
@@ -194,7 +202,8 @@
         let seeds: Vec<String> = (1..4)
             .map(|seed| format!("\"{}.1.{seed}:{CONTROL_PORT}\"", self.net))
             .collect();
-        let (seeds, store) = (seeds.join(","), self.store.address);
+        let store = self.doors.get(number).unwrap_or(&self.store).address;
+        let seeds = seeds.join(",");
         let Settings {
             contracts,
             drain_ms,
--- a/review/standins-2/leaf.rs
+++ b/review/standins-2/leaf.rs
@@ -22,6 +22,9 @@
 /// Time between two looks at whether the caller of a running request has left.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time for which an idle connection stays open beyond what the leaf states.
+const IDLE_RESERVE: Duration = Duration::from_millis(300);
+
 /// A request at a leaf.
 pub struct Arrival {
     pub leaf: String,
@@ -44,6 +47,8 @@
     pub records: usize,
     /// Requests within a second that end the leaf.
     pub crash_at: Option<usize>,
+    /// Seconds after which idle connections are closed, as the leaf states.
+    pub idle_s: u64,
 }
 
 #[derive(Clone)]
@@ -147,6 +152,8 @@
     }
 
     fn serve(&self, mut connection: Connection) {
+        let idle = Duration::from_secs(self.behaviour.lock().unwrap().idle_s);
+        let _ = connection.stream.set_read_timeout(Some(idle + IDLE_RESERVE));
         while let Ok(Some(request)) = connection.read() {
             if self.is_stopped.load(Ordering::SeqCst)
                 || self.answer(&mut connection, &request).is_none()
@@ -205,9 +212,16 @@
             self.crash();
             return None;
         }
-        let (work, limit, records) = {
+        let (work, limit, records, idle_s) = {
             let behaviour = self.behaviour.lock().unwrap();
-            (behaviour.work, behaviour.limit, behaviour.records)
+            let Behaviour {
+                work,
+                limit,
+                records,
+                idle_s,
+                ..
+            } = *behaviour;
+            (work, limit, records, idle_s)
         };
         let until = Instant::now() + work;
         let mut has_caller = true;
@@ -226,10 +240,11 @@
         }
         let stamp = format!("{}.{index:x}", self.id.replace('-', ""));
         let limit = limit.map(|limit| limit.to_string());
+        let keep_alive = format!("timeout={idle_s}");
         let mut headers = vec![
             ("Request-Id", id.as_str()),
             ("Server-Stamp", stamp.as_str()),
-            ("Keep-Alive", "timeout=10"),
+            ("Keep-Alive", keep_alive.as_str()),
         ];
         headers.extend(limit.as_deref().map(|limit| ("Server-Limit", limit)));
         let body: Vec<u8> = (0..records * 16)
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod leaf;
+mod paths;
 mod store;
 
 use {
@@ -48,6 +49,7 @@
         "cold" => cases::cold::run,
         "limit" => cases::limit::run,
         "keys" => cases::keys::run,
+        "refused" => cases::refused::run,
         _ => {
             eprintln!("{case}: no such case");
             exit(2);
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -109,6 +109,8 @@
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
+    /// Texts that are others in the entries of leaves, as they are read here.
+    replaced: Arc<Vec<(String, String)>>,
 }
 
 impl Store {
@@ -123,14 +125,9 @@
         let store = Self {
             address: listener.local_addr()?,
             shared: Arc::new((Mutex::new(state), Condvar::new())),
+            replaced: Arc::default(),
         };
-        let accepting = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = accepting.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
+        store.clone().accept(listener);
         let expiring = store.clone();
         thread::spawn(move || loop {
             thread::sleep(Duration::from_millis(50));
@@ -142,6 +139,28 @@
         Ok(store)
     }
 
+    /// Returns the same store at another address, where the entries of leaves are read with
+    /// `replaced` texts: the way of one host to a leaf can lead over a proxy.
+    pub fn door(&self, replaced: Vec<(String, String)>) -> io::Result<Self> {
+        let listener = TcpListener::bind((self.address.ip(), 0))?;
+        let door = Self {
+            address: listener.local_addr()?,
+            shared: Arc::clone(&self.shared),
+            replaced: Arc::new(replaced),
+        };
+        door.clone().accept(listener);
+        Ok(door)
+    }
+
+    fn accept(self, listener: TcpListener) {
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = self.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+    }
+
     /// Writes a key, as the operator and the leaves do.
     pub fn put(&self, key: &str, value: &str) {
         let (state, changed) = &*self.shared;
@@ -230,7 +249,7 @@
     fn key(&self, key: &str) -> (u16, String) {
         let state = self.shared.0.lock().unwrap();
         match state.items.get(key) {
-            Some(item) => (200, encode(key, item)),
+            Some(item) => (200, self.encode(key, item)),
             None => (404, "{}".to_owned()),
         }
     }
@@ -246,7 +265,7 @@
         let items = found
             .iter()
             .take(PAGE_ITEMS)
-            .map(|(key, item)| encode(key, item));
+            .map(|(key, item)| self.encode(key, item));
         let items = items.collect::<Vec<_>>().join(",");
         let revision = state.revision;
         let text =
@@ -267,7 +286,7 @@
             let events = events.filter(|event| event.key.starts_with(prefix));
             let mut events: Vec<String> = events
                 .map(|event| match &event.item {
-                    Some(item) => encode(&event.key, item),
+                    Some(item) => self.encode(&event.key, item),
                     None => format!(
                         "{{\"key\":{},\"revision\":{},\"tombstone\":true}}",
                         json::quote(&event.key),
@@ -310,7 +329,7 @@
             let rows = body.list("precondition").iter();
             let items = rows.filter_map(|row| {
                 let key = row.text("key");
-                state.items.get(key).map(|item| encode(key, item))
+                state.items.get(key).map(|item| self.encode(key, item))
             });
             let items = items.collect::<Vec<_>>().join(",");
             return (412, format!("{{\"items\":[{items}]}}"));
@@ -363,17 +382,25 @@
             None => (404, "{}".to_owned()),
         }
     }
-}
 
-fn encode(key: &str, item: &Item) -> String {
-    format!(
-        "{{\"key\":{},\"value\":\"{}\",\"revision\":{},\"created_revision\":{},\"lease\":{}}}",
-        json::quote(key),
-        json::to_base64(&item.value),
-        item.revision,
-        item.created,
-        item.lease
-    )
+    fn encode(&self, key: &str, item: &Item) -> String {
+        let mut value = item.value.clone();
+        if key.starts_with("servers/") && !self.replaced.is_empty() {
+            let mut text = String::from_utf8_lossy(&value).into_owned();
+            for (from, to) in &*self.replaced {
+                text = text.replace(from, to);
+            }
+            value = text.into_bytes();
+        }
+        format!(
+            "{{\"key\":{},\"value\":\"{}\",\"revision\":{},\"created_revision\":{},\"lease\":{}}}",
+            json::quote(key),
+            json::to_base64(&value),
+            item.revision,
+            item.created,
+            item.lease
+        )
+    }
 }
 
 fn percent_decode(text: &str) -> String {
