--- a/review/standins-2/leaf.rs
+++ b/review/standins-2/leaf.rs
@@ -153,7 +153,9 @@
 
     fn serve(&self, mut connection: Connection) {
         let idle = Duration::from_secs(self.behaviour.lock().unwrap().idle_s);
-        let _ = connection.stream.set_read_timeout(Some(idle + IDLE_RESERVE));
+        let _ = connection
+            .stream
+            .set_read_timeout(Some(idle + IDLE_RESERVE));
         while let Ok(Some(request)) = connection.read() {
             if self.is_stopped.load(Ordering::SeqCst)
                 || self.answer(&mut connection, &request).is_none()
