--- a/review/standins-2/cases/cold.rs
+++ b/review/standins-2/cases/cold.rs
@@ -55,6 +55,7 @@
         limit: None,
         records: 180,
         crash_at,
+        deadly: None,
         idle_s: 10,
     };
     let ip = fleet.leaf_ip(number);
--- a/review/standins-2/cases/keys.rs
+++ b/review/standins-2/cases/keys.rs
@@ -1,4 +1,4 @@
-//! A key is taken away by a configuration that also adds a tenant.
+//! A key is taken away by a configuration that also adds a tenant, or that removes the last one.
 
 use {
     crate::{
@@ -24,7 +24,39 @@
     format!(",\"tenants\":[{}]", entries.join(","))
 }
 
-pub fn run(has_trouble: bool, record: &Record) -> io::Result<Verdict> {
+type Tenants = Vec<(&'static str, &'static [&'static str])>;
+
+/// The change that takes the key away also adds a tenant.
+pub fn run_added(has_trouble: bool, record: &Record) -> io::Result<Verdict> {
+    let added = if has_trouble {
+        "Hospital Norte"
+    } else {
+        "hospital-norte"
+    };
+    let before: Tenants = vec![
+        ("canteen-a", &["key-a1", "key-a2"]),
+        ("canteen-b", &["key-b1"]),
+    ];
+    let after: Tenants = vec![
+        ("canteen-a", &["key-a2"]),
+        ("canteen-b", &["key-b1"]),
+        (added, &["key-h1"]),
+    ];
+    run(&before, &after, record)
+}
+
+/// The change that takes the key away removes the last tenant.
+pub fn run_removed(has_trouble: bool, record: &Record) -> io::Result<Verdict> {
+    let before: Tenants = vec![("canteen-a", &["key-a1"])];
+    let after: Tenants = if has_trouble {
+        Vec::new()
+    } else {
+        vec![("canteen-a", &["key-a2"])]
+    };
+    run(&before, &after, record)
+}
+
+fn run(before: &Tenants, after: &Tenants, record: &Record) -> io::Result<Verdict> {
     let fleet = Fleet::new(record)?;
     let arrivals = Arrivals::default();
     let mut leaves = Vec::new();
@@ -34,6 +66,7 @@
             limit: None,
             records: 100,
             crash_at: None,
+            deadly: None,
             idle_s: 10,
         };
         let (id, zone) = (format!("i-{number}"), format!("zone-{number}"));
@@ -59,11 +92,7 @@
         target: format!("\"service\":\"{SERVICE}\""),
     };
     let services = [fleet::service(SERVICE, 110, 0.0)];
-    let before: [(&str, &[&str]); 2] = [
-        ("canteen-a", &["key-a1", "key-a2"]),
-        ("canteen-b", &["key-b1"]),
-    ];
-    let first = fleet::config(7, &[route()], &services, &tenants(&before));
+    let first = fleet::config(7, &[route()], &services, &tenants(before));
     fleet.store.put("op/config", &first);
     let settings = Settings {
         contracts: r#""base","drain","config","cost","retry","recover","scatter","places","tenants","quota","platform""#,
@@ -102,18 +131,7 @@
             return unable(format!("a request with a valid key got {status}"));
         }
     }
-    // The change that takes the key away also adds a tenant.
-    let added = if has_trouble {
-        "Hospital Norte"
-    } else {
-        "hospital-norte"
-    };
-    let after: [(&str, &[&str]); 3] = [
-        ("canteen-a", &["key-a2"]),
-        ("canteen-b", &["key-b1"]),
-        (added, &["key-h1"]),
-    ];
-    let second = fleet::config(12, &[route()], &services, &tenants(&after));
+    let second = fleet::config(12, &[route()], &services, &tenants(after));
     fleet.store.put("op/config", &second);
     let confirmed_at = record.now_ms();
     record.line("store: version 12 takes key-a1 away");
--- a/review/standins-2/cases/limit.rs
+++ b/review/standins-2/cases/limit.rs
@@ -39,6 +39,7 @@
             limit: Some(LIMIT_PER_S),
             records: 180,
             crash_at: None,
+            deadly: None,
             idle_s: 10,
         };
         let ip = fleet.leaf_ip(number);
--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 pub mod cold;
+pub mod deadly;
 pub mod keys;
 pub mod limit;
 pub mod refused;
--- a/review/standins-2/cases/refused.rs
+++ b/review/standins-2/cases/refused.rs
@@ -56,6 +56,7 @@
             limit: None,
             records: 100,
             crash_at: None,
+            deadly: None,
             idle_s: 3,
         };
         let (id, zone) = (
--- a/review/standins-2/leaf.rs
+++ b/review/standins-2/leaf.rs
@@ -47,6 +47,8 @@
     pub records: usize,
     /// Requests within a second that end the leaf.
     pub crash_at: Option<usize>,
+    /// Path of requests that end the leaf as it begins to run them.
+    pub deadly: Option<&'static str>,
     /// Seconds after which idle connections are closed, as the leaf states.
     pub idle_s: u64,
 }
@@ -151,6 +153,10 @@
         self.record.line(&format!("leaf {} crashes", self.id));
     }
 
+    pub fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::SeqCst)
+    }
+
     fn serve(&self, mut connection: Connection) {
         let idle = Duration::from_secs(self.behaviour.lock().unwrap().idle_s);
         let _ = connection
@@ -185,7 +191,10 @@
                 .write("HTTP/1.1 421 Misdirected Request", &headers, b"")
                 .ok();
         }
-        let crash_at = self.behaviour.lock().unwrap().crash_at;
+        let (crash_at, deadly) = {
+            let behaviour = self.behaviour.lock().unwrap();
+            (behaviour.crash_at, behaviour.deadly)
+        };
         let (index, in_second) = {
             let mut arrivals = self.arrivals.lock().unwrap();
             let now = self.record.now_ms();
@@ -210,7 +219,8 @@
             "run: {id} at {}, {path}, {bytes} bytes, tenant {tenant}",
             self.id
         ));
-        if crash_at.is_some_and(|most| in_second >= most) {
+        let is_deadly = deadly.is_some_and(|deadly| deadly == path);
+        if is_deadly || crash_at.is_some_and(|most| in_second >= most) {
             self.crash();
             return None;
         }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -48,7 +48,9 @@
     let run = match case.as_str() {
         "cold" => cases::cold::run,
         "limit" => cases::limit::run,
-        "keys" => cases::keys::run,
+        "deadly" => cases::deadly::run,
+        "last" => cases::keys::run_removed,
+        "keys" => cases::keys::run_added,
         "refused" => cases::refused::run,
         _ => {
             eprintln!("{case}: no such case");
