--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -12,6 +12,7 @@
 
 mod backlog;
 mod crowd;
+mod keys;
 
 use {
     record::Record,
@@ -54,6 +55,7 @@
     let outcome = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "backlog" => backlog::run(&record, trouble),
         "crowd" => crowd::run(&record, trouble),
+        "keys" => keys::run(&record, trouble),
         _ => Err("unknown case".into()),
     }));
     let outcome = outcome.unwrap_or_else(|_| Err("a stand-in has failed".into()));
