--- a/review/standins-3/backlog.rs
+++ b/review/standins-3/backlog.rs
@@ -59,13 +59,18 @@
             queue: 12,
             work: WORK,
             is_shard: false,
+            idle_s: 15,
         };
         let leaf = Leaf::start(&loopback(10 + number), spec, record, &runs, true)?;
         leaf.register(&store, "ready", 1);
         leafs.push(leaf);
     }
     let mut hosts = Vec::new();
-    for (number, zone) in [(21, "xela-centro"), (22, "mazate-norte"), (23, "zacapa-uno")] {
+    for (number, zone) in [
+        (21, "xela-centro"),
+        (22, "mazate-norte"),
+        (23, "zacapa-uno"),
+    ] {
         let mut host = Host::new(&format!("front-{zone}"), number)?;
         let settings = Settings {
             zone: zone.to_owned(),
@@ -75,7 +80,10 @@
         host.start(door.address, &settings)?;
         hosts.push(host);
     }
-    if !hosts.iter().all(|host| host.wait_ready(Duration::from_secs(10))) {
+    if !hosts
+        .iter()
+        .all(|host| host.wait_ready(Duration::from_secs(10)))
+    {
         return Err("a host isn't ready".into());
     }
     // From here on the hosts are in touch: no disturbance for `touch_ms`.
@@ -103,7 +111,10 @@
     }
     for host in &mut hosts {
         let (peak, has_ended) = (host.peak_kb(), host.has_ended());
-        record.say(&format!("{}: peak {peak} KB, ended by itself: {has_ended}", host.name));
+        record.say(&format!(
+            "{}: peak {peak} KB, ended by itself: {has_ended}",
+            host.name
+        ));
     }
     let answers = answers.lock().unwrap();
     let runs: Vec<Run> = {
@@ -121,7 +132,11 @@
         runs.len()
     ));
     let Some(drained) = drained else {
-        return Ok(if count(200) == answers.len() { Verdict::Held } else { Verdict::Broken });
+        return Ok(if count(200) == answers.len() {
+            Verdict::Held
+        } else {
+            Verdict::Broken
+        });
     };
     let late: Vec<_> = runs
         .iter()
@@ -136,7 +151,11 @@
             answer.map_or(0, |(_, status)| *status)
         ));
     }
-    let is_lost = |run: &&&Run| answers.iter().any(|(id, status)| *id == run.id && *status != 200);
+    let is_lost = |run: &&&Run| {
+        answers
+            .iter()
+            .any(|(id, status)| *id == run.id && *status != 200)
+    };
     record.say(&format!(
         "requests that reached i-archive-2 later than {} ms after the store confirmed that it was draining: {}; the last after {} ms; {} of them ran and were lost",
         DRAIN.as_millis(),
@@ -144,7 +163,11 @@
         late.iter().map(|run| (run.arrived - drained).as_millis()).max().unwrap_or(0),
         late.iter().filter(is_lost).count()
     ));
-    Ok(if late.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if late.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
 
 /// Sends the requests of the run to all hosts, each from a client of its own, at an even pace.
@@ -175,7 +198,11 @@
                 let sent = Instant::now();
                 record.line_at(sent, &format!("client: sends {} to {front}", ask.id));
                 let answer = ask.send(front);
-                record.line(&format!("client: {} gets {}", ask.id, describe(&answer, sent)));
+                record.line(&format!(
+                    "client: {} gets {}",
+                    ask.id,
+                    describe(&answer, sent)
+                ));
                 let status = answer.map_or(0, |answer| answer.status());
                 answers.lock().unwrap().push((ask.id, status));
             }));
--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -36,7 +36,11 @@
             ("Request-Id", self.id.as_str()),
             ("Deadline-Milliseconds", deadline.as_str()),
         ];
-        headers.extend(bearer.as_ref().map(|bearer| ("Authorization", bearer.as_str())));
+        headers.extend(
+            bearer
+                .as_ref()
+                .map(|bearer| ("Authorization", bearer.as_str())),
+        );
         connection.ask(self.method, &self.path, &headers, &self.body)?;
         connection.read()
     }
--- a/review/standins-3/crowd.rs
+++ b/review/standins-3/crowd.rs
@@ -51,6 +51,7 @@
                 queue: 12,
                 work: Duration::from_millis(11),
                 is_shard: true,
+                idle_s: 15,
             };
             let leaf = Leaf::start(&loopback(10), spec, record, &runs, false)?;
             leaf.register(&store, "ready", 1);
@@ -67,7 +68,10 @@
         host.start(door.address, &settings)?;
         hosts.push((host, settings));
     }
-    if !hosts.iter().all(|(host, _)| host.wait_ready(Duration::from_secs(15))) {
+    if !hosts
+        .iter()
+        .all(|(host, _)| host.wait_ready(Duration::from_secs(15)))
+    {
         return Err("a host isn't ready".into());
     }
     thread::sleep(Duration::from_secs(5));
@@ -133,7 +137,10 @@
         }
         if told.elapsed() > Duration::from_secs(1) {
             told = Instant::now();
-            let resident: Vec<_> = hosts.iter().map(|(host, _)| host.resident_kb() >> 10).collect();
+            let resident: Vec<_> = hosts
+                .iter()
+                .map(|(host, _)| host.resident_kb() >> 10)
+                .collect();
             record.line(&format!("resident, MB: {resident:?}"));
         }
     }
@@ -150,11 +157,17 @@
         MEMORY_MB << 10
     ));
     let has_ended = ends.iter().any(|&ends| ends > 0);
-    Ok(if has_ended { Verdict::Broken } else { Verdict::Held })
+    Ok(if has_ended {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 fn config() -> String {
-    let names: Vec<_> = (0..SHARDS).map(|shard| format!("\"ventanilla{shard}\"")).collect();
+    let names: Vec<_> = (0..SHARDS)
+        .map(|shard| format!("\"ventanilla{shard}\""))
+        .collect();
     let services: Vec<_> = names
         .iter()
         .map(|name| {
@@ -199,7 +212,11 @@
             let status = ask(&format!("{name}{turn:04}"), bytes).send(front);
             let status = status.map_or(0, |answer| answer.status());
             tally.add(status);
-            let pause_ms = if status == 200 { pause_ms } else { pause_ms.max(100) };
+            let pause_ms = if status == 200 {
+                pause_ms
+            } else {
+                pause_ms.max(100)
+            };
             thread::sleep(Duration::from_millis(pause_ms));
         }
     })
--- a/review/standins-3/host.rs
+++ b/review/standins-3/host.rs
@@ -2,8 +2,7 @@
 //! its own, with the settings of a small deployment.
 
 use std::{
-    fs,
-    io,
+    fs, io,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -57,7 +56,9 @@
 /// Kills the processes that still run.
 pub fn end_all() {
     for id in RUNNING.lock().unwrap().drain(..) {
-        let _ = Command::new("kill").args(["-s", "KILL", &id.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-s", "KILL", &id.to_string()])
+            .status();
     }
 }
 
@@ -99,7 +100,11 @@
 
     /// Starts the program with the command of the deploy file.
     pub fn start(&mut self, store: SocketAddr, settings: &Settings) -> io::Result<()> {
-        let seeds: Vec<String> = settings.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds: Vec<String> = settings
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         let text = format!(
             r#"{{"node_name":"{name}","role":"entry","machine_class":"front","serves":["front","control"],
 "ip_address":"{ip}","zone":"{zone}","region":"altiplano",
@@ -160,11 +165,14 @@
 
     /// Asks whether the host is ready, as the platform does.
     pub fn is_ready(&self) -> bool {
-        let asked = Connection::open(self.ready, Duration::from_secs(1)).and_then(|mut connection| {
-            let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(1)));
-            connection.ask("GET", "/api/readiness", &[("Host", "ready")], b"")?;
-            connection.read()
-        });
+        let asked =
+            Connection::open(self.ready, Duration::from_secs(1)).and_then(|mut connection| {
+                let _ = connection
+                    .stream
+                    .set_read_timeout(Some(Duration::from_secs(1)));
+                connection.ask("GET", "/api/readiness", &[("Host", "ready")], b"")?;
+                connection.read()
+            });
         asked.is_ok_and(|answer| answer.status() == 200)
     }
 
@@ -175,7 +183,9 @@
     /// Sends a signal, such as `TERM`, to the process.
     pub fn signal(&self, name: &str) {
         if let Some(id) = self.id() {
-            let _ = Command::new("kill").args(["-s", name, &id.to_string()]).status();
+            let _ = Command::new("kill")
+                .args(["-s", name, &id.to_string()])
+                .status();
         }
     }
 
@@ -210,7 +220,11 @@
         let id = self.id().unwrap_or(0);
         let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix(field));
-        let size = line.unwrap_or_default().trim().trim_end_matches(" kB").trim();
+        let size = line
+            .unwrap_or_default()
+            .trim()
+            .trim_end_matches(" kB")
+            .trim();
         size.parse().unwrap_or(0)
     }
 
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -136,7 +136,9 @@
             std::thread::sleep(limit);
             return false;
         }
-        let _ = self.stream.set_read_timeout(Some(limit.max(Duration::from_millis(1))));
+        let _ = self
+            .stream
+            .set_read_timeout(Some(limit.max(Duration::from_millis(1))));
         let mut byte = [0; 1];
         let from = Instant::now();
         let read = self.stream.peek(&mut byte);
@@ -155,7 +157,12 @@
     }
 
     /// Writes an answer.
-    pub fn answer(&mut self, status: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn answer(
+        &mut self,
+        status: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len());
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
--- a/review/standins-3/keys.rs
+++ b/review/standins-3/keys.rs
@@ -50,26 +50,36 @@
             queue: 8,
             work: Duration::from_millis(20),
             is_shard: false,
+            idle_s: 15,
         };
         let leaf = Leaf::start(&loopback(10 + number), spec, record, &runs, true)?;
         leaf.register(&store, "ready", 1);
     }
     let mut hosts = Vec::new();
-    for (number, zone) in [(21, "xela-centro"), (22, "mazate-norte"), (23, "zacapa-uno")] {
+    for (number, zone) in [
+        (21, "xela-centro"),
+        (22, "mazate-norte"),
+        (23, "zacapa-uno"),
+    ] {
         hosts.push((Host::new(&format!("front-{zone}"), number)?, zone));
     }
     let seeds: Vec<_> = hosts.iter().map(|(host, _)| host.control).collect();
-    let settings = |zone: &str| Settings {
+    let settings = |zone: &str| {
+        Settings {
         zone: zone.to_owned(),
         drain_ms: 5_000,
         more_bounds: r#","strict_revocation":true,"revocation_ms":5000,"quota_window_s":5,"quota_overage":0.1,"quota_slack":20"#.to_owned(),
         seeds: seeds.clone(),
         ..Settings::default()
+    }
     };
     for (host, zone) in &mut hosts {
         host.start(door.address, &settings(zone))?;
     }
-    if !hosts.iter().all(|(host, _)| host.wait_ready(Duration::from_secs(10))) {
+    if !hosts
+        .iter()
+        .all(|(host, _)| host.wait_ready(Duration::from_secs(10)))
+    {
         return Err("a host isn't ready".into());
     }
     sleep(Duration::from_millis(6_000));
@@ -96,7 +106,10 @@
                     };
                     let at = Instant::now();
                     let answer = ask.send(front);
-                    record.line_at(at, &format!("client: sends {}, gets {}", ask.id, describe(&answer, at)));
+                    record.line_at(
+                        at,
+                        &format!("client: sends {}, gets {}", ask.id, describe(&answer, at)),
+                    );
                     let status = answer.map_or(0, |answer| answer.status());
                     sent.lock().unwrap().push((ask.id, at, status));
                     sleep(Duration::from_millis(100));
@@ -110,7 +123,8 @@
     sleep(Duration::from_secs(1));
     let confirmed = store.put("op/config", &config(8, r#""key-kept""#));
     record.line_at(confirmed, "store: confirms version 8, without key-taken");
-    let after = |ms: u64| (confirmed + Duration::from_millis(ms)).saturating_duration_since(Instant::now());
+    let after =
+        |ms: u64| (confirmed + Duration::from_millis(ms)).saturating_duration_since(Instant::now());
     sleep(after(2_200));
     if trouble {
         let (host, zone) = &mut hosts[1];
@@ -128,7 +142,10 @@
             sleep(Duration::from_millis(20));
         }
         let has_ended = host.has_ended();
-        record.line(&format!("{} has ended: {has_ended}; starts again", host.name));
+        record.line(&format!(
+            "{} has ended: {has_ended}; starts again",
+            host.name
+        ));
         host.kill();
         host.start(door.address, &settings(zone))?;
         sleep(OPERATOR_DELAY.saturating_sub(back.elapsed()));
@@ -157,7 +174,9 @@
         ));
     }
     let count = |key: &str, status: u16| {
-        sent.iter().filter(|(id, _, got)| id.starts_with(key) && *got == status).count()
+        sent.iter()
+            .filter(|(id, _, got)| id.starts_with(key) && *got == status)
+            .count()
     };
     record.say(&format!(
         "key-kept: {} answered 200, {} 401, {} 503, {} not; key-taken: {} answered 200, {} 401",
@@ -173,5 +192,9 @@
         REVOCATION.as_millis(),
         late.len()
     ));
-    Ok(if late.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if late.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
--- a/review/standins-3/leaf.rs
+++ b/review/standins-3/leaf.rs
@@ -10,8 +10,8 @@
         io,
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         sync::{
-            atomic::{AtomicBool, AtomicUsize, Ordering},
             Arc, Condvar, Mutex,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -25,7 +25,6 @@
     pub id: String,
     /// When its head had arrived.
     pub arrived: Instant,
-    pub tenant: Option<String>,
 }
 
 /// What a leaf is.
@@ -41,6 +40,8 @@
     pub work: Duration,
     /// Whether it answers with records, as a shard does.
     pub is_shard: bool,
+    /// Time after which it closes an idle connection, as it says in `Keep-Alive`, seconds.
+    pub idle_s: u64,
 }
 
 struct Shared {
@@ -51,8 +52,8 @@
     /// Requests in slots, and those that wait for one.
     busy: (Mutex<(usize, usize)>, Condvar),
     has_ended: AtomicBool,
-    /// Whether its answers say that it leaves.
-    is_leaving: AtomicBool,
+    /// Times as long as `work`.
+    slowness: AtomicU64,
     streams: Mutex<Vec<TcpStream>>,
     count: AtomicUsize,
     logs: bool,
@@ -79,7 +80,7 @@
             runs: Arc::clone(runs),
             busy: (Mutex::new((0, 0)), Condvar::new()),
             has_ended: AtomicBool::new(false),
-            is_leaving: AtomicBool::new(false),
+            slowness: AtomicU64::new(1),
             streams: Mutex::default(),
             count: AtomicUsize::new(0),
             logs,
@@ -115,9 +116,9 @@
         store.put(&format!("servers/{}", spec.id), &entry)
     }
 
-    /// Makes its answers say that it leaves.
-    pub fn set_leaving(&self) {
-        self.0.is_leaving.store(true, Ordering::SeqCst);
+    /// Makes its work take `times` as long.
+    pub fn set_slowness(&self, times: u32) {
+        self.0.slowness.store(times.into(), Ordering::SeqCst);
     }
 
     /// Ends the leaf: what it runs ends without an answer, and nobody listens any more.
@@ -129,10 +130,6 @@
         // Wakes the listener, which is closed then.
         let _ = TcpStream::connect(self.0.address);
     }
-
-    pub fn address(&self) -> SocketAddr {
-        self.0.address
-    }
 }
 
 impl Shared {
@@ -155,43 +152,46 @@
             let headers = [("Instance-Id", self.spec.id.as_str()), ("Request-Id", &id)];
             return connection.answer("421 Misdirected Request", &headers, b"");
         }
-        let leaving = self.is_leaving.load(Ordering::SeqCst);
-        let leaving = leaving.then_some(("Server-Leaving", "1"));
         if !self.take_slot() {
-            let mut headers = vec![("Not-Executed", "1"), ("Request-Id", id.as_str())];
-            headers.extend(leaving);
+            let headers = [("Not-Executed", "1"), ("Request-Id", id.as_str())];
             return connection.answer("503 Service Unavailable", &headers, b"");
         }
         self.runs.lock().unwrap().push(Run {
             leaf: self.spec.id.clone(),
             id: id.clone(),
             arrived,
-            tenant: request.header("tenant").map(str::to_owned),
         });
         if self.logs {
-            self.record.line_at(arrived, &format!("leaf {}: runs {id}", self.spec.id));
+            self.record
+                .line_at(arrived, &format!("leaf {}: runs {id}", self.spec.id));
         }
-        let is_closed = connection.is_closed_within(self.spec.work);
+        let times = self.slowness.load(Ordering::SeqCst) as u32;
+        let is_closed = connection.is_closed_within(self.spec.work * times);
         self.free_slot();
         if is_closed || self.has_ended.load(Ordering::SeqCst) {
             if self.logs {
-                self.record.line(&format!("leaf {}: {id} ends without an answer", self.spec.id));
+                self.record.line(&format!(
+                    "leaf {}: {id} ends without an answer",
+                    self.spec.id
+                ));
             }
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let number = self.count.fetch_add(1, Ordering::SeqCst);
         let stamp = format!("{}.{number:x}.{id}", self.spec.id);
+        let keep_alive = format!("timeout={}", self.spec.idle_s);
         let load = self.busy.0.lock().unwrap().0;
         let load = format!("{load},0,{}", self.spec.slots);
-        let mut headers = vec![
+        let headers = [
             ("Request-Id", id.as_str()),
             ("Server-Stamp", &stamp),
             ("Server-Load", &load),
-            ("Keep-Alive", "timeout=15"),
+            ("Keep-Alive", &keep_alive),
         ];
-        headers.extend(leaving);
         let body = if self.spec.is_shard {
-            (0..4).map(|place| format!("{:>12}{place:04}", self.spec.id)).collect::<String>()
+            (0..4)
+                .map(|place| format!("{:>12}{place:04}", self.spec.id))
+                .collect::<String>()
         } else {
             format!("{} by {}", request.word(1), self.spec.id)
         };
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -13,6 +13,7 @@
 mod backlog;
 mod crowd;
 mod keys;
+mod slow;
 
 use {
     record::Record,
@@ -37,7 +38,10 @@
 
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
-    let (case, path) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    let (case, path) = (
+        args.next().unwrap_or_default(),
+        args.next().unwrap_or_default(),
+    );
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = match Record::create(&path) {
         Ok(record) => record,
@@ -56,6 +60,7 @@
         "backlog" => backlog::run(&record, trouble),
         "crowd" => crowd::run(&record, trouble),
         "keys" => keys::run(&record, trouble),
+        "slow" => slow::run(&record, trouble),
         _ => Err("unknown case".into()),
     }));
     let outcome = outcome.unwrap_or_else(|_| Err("a stand-in has failed".into()));
--- a/review/standins-3/record.rs
+++ b/review/standins-3/record.rs
@@ -1,8 +1,8 @@
 //! The record of a run, with the time since its start, and its verdict.
 
 use std::{
-    io::Write,
     fs::File,
+    io::Write,
     sync::{Arc, Mutex},
     time::Instant,
 };
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -5,16 +5,15 @@
 use {
     crate::{
         http::{Connection, Message},
-        json::{decode_base64, encode_base64, quote, Json},
-        record::Record,
+        json::{Json, decode_base64, encode_base64, quote},
     },
     std::{
         collections::BTreeMap,
         io,
         net::{SocketAddr, TcpListener},
         sync::{
-            atomic::{AtomicU8, Ordering},
             Arc, Condvar, Mutex,
+            atomic::{AtomicU8, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -98,9 +97,11 @@
             state: Arc::new((Mutex::new(state), Condvar::new())),
         };
         let leases = store.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(50));
-            leases.end_leases();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(50));
+                leases.end_leases();
+            }
         });
         store
     }
@@ -149,13 +150,6 @@
         Instant::now()
     }
 
-    /// Returns the keys that begin with `prefix`.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.state.0.lock().unwrap();
-        let keys = state.items.keys();
-        keys.filter(|key| key.starts_with(prefix)).cloned().collect()
-    }
-
     /// Returns a copy of what the store has.
     pub fn copy(&self) -> State {
         self.state.0.lock().unwrap().clone()
@@ -217,7 +211,9 @@
         let field = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             let found = pairs.find(|(known, _)| *known == name);
-            found.map(|(_, value)| decode_percent(value)).unwrap_or_default()
+            found
+                .map(|(_, value)| decode_percent(value))
+                .unwrap_or_default()
         };
         match (request.word(0), path) {
             ("GET", "/api/kv-key") => {
@@ -372,26 +368,6 @@
         self.state.1.notify_all();
         ("200 OK", format!("{{\"revision\":{revision}}}"))
     }
-
-    /// Records each change of a key under `prefix` from now on.
-    pub fn log_changes(&self, prefix: &'static str, record: Record) {
-        let store = self.clone();
-        thread::spawn(move || {
-            let mut known = (0, 0);
-            loop {
-                thread::sleep(Duration::from_millis(20));
-                let state = store.state.0.lock().unwrap();
-                let from = if known.0 == state.era { known.1 } else { state.revision };
-                for event in state.events.iter().filter(|event| event.revision > from) {
-                    if event.key.starts_with(prefix) {
-                        let what = if event.item.is_some() { "written" } else { "removed" };
-                        record.line(&format!("store: {} {what}, revision {}", event.key, event.revision));
-                    }
-                }
-                known = (state.era, state.revision);
-            }
-        });
-    }
 }
 
 fn write(state: &mut State, key: &str, value: Option<(Vec<u8>, u64)>) {
